--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from umbertally import (
+from mapleshunt import (
     Action,
     Event,
     Gateway,
@@ -82,7 +82,7 @@
 
     def wait(self, ms: float) -> list[Action]:
         """Let the clock run, firing timers as they fall due."""
-        from umbertally import Timer
+        from mapleshunt import Timer
 
         end, got = self.now + ms, []
         while self.timers and min(self.timers) <= end:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from umbertally import (
+from mapleshunt import (
     Cancel,
     ClientGone,
     Fail,
@@ -21,7 +21,7 @@
     Timer,
     Watch,
 )
-from umbertally.report import SILENT, Line, code_of, decode, encode, server_tag, tag_of
+from mapleshunt.report import SILENT, Line, code_of, decode, encode, server_tag, tag_of
 
 from .conftest import Driver
 
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from umbertally import Plan, RequestClass, Settings
-from umbertally.simhost import main
+from mapleshunt import Plan, RequestClass, Settings
+from mapleshunt.simhost import main
 
 ODD: Any = "odd"
 ROOT = Path(__file__).parent.parent
@@ -139,7 +139,7 @@
 
 
 def test_module_is_small_narrow_and_general() -> None:
-    text = (ROOT / "umbertally" / "control.py").read_text()
+    text = (ROOT / "mapleshunt" / "control.py").read_text()
     lines = [line for line in text.splitlines() if line.strip()]
     assert len(lines) <= 400 and max(map(len, lines)) <= 110
     assert "interface.py" in "\n".join(lines[:3])
