--- /dev/null
+++ b/mapleshunt/net/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway's sockets: everything between the network and the decision module."""
--- /dev/null
+++ b/mapleshunt/net/client.py
@@ -0,0 +1,174 @@
+"""Client connections: RESP commands in, answers out in the order of the commands."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections import deque
+from collections.abc import Callable
+
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+
+from . import log, resp, svc
+from .buffer import ReadBuffer, TooLong
+from .context import RequestContext
+from .counters import Counters
+from .driver import Driver
+from .stages.admit import admit
+from .stages.take_in import Unacceptable, take_in
+
+MOST_PENDING = 64  # commands of a connection that wait for their answer before reading pauses
+MOST_UNWRITTEN = MOST_PENDING * (resp.MAX_VALUE + 64)  # bytes
+
+
+class Service:
+    """What all client connections share."""
+
+    def __init__(self, driver: Driver, counters: Counters, seed: int, max_open: int) -> None:
+        self.driver, self.counters, self.max_open = driver, counters, max_open
+        # Peers name a request by a part of its number: one that begins anew after a restart must not meet
+        # the answers to questions from before.
+        self.refs = itertools.count(random.Random(seed).getrandbits(40))
+        self.connections: set[ClientConnection] = set()
+        self.ready: Callable[[], bool] = lambda: True
+        self.draining = False
+
+    def serve(self, stream: IOStream) -> None:
+        connection = ClientConnection(stream, self)
+        self.connections.add(connection)
+        self.counters.add("client_connections")
+        connection.task = asyncio.get_running_loop().create_task(connection.run())
+
+    def drain(self) -> None:
+        """From now on a connection is closed as soon as nothing is owed on it."""
+        self.draining = True
+        for connection in list(self.connections):
+            connection.close_if_done()
+
+
+class Slot:
+    """The place of one answer in a connection's order."""
+
+    __slots__ = ("connection", "context", "data")
+
+    def __init__(self, connection: ClientConnection) -> None:
+        self.connection = connection
+        self.context: RequestContext | None = None
+        self.data: bytes | None = None
+
+    def put(self, data: bytes) -> None:
+        self.data = data
+        self.connection.flush()
+
+    def serve(self, value: memoryview) -> None:
+        self.put(resp.bulk(value))
+
+    def reject(self, wait: float) -> None:
+        self.put(svc.rejection(wait))
+
+    def fail(self) -> None:
+        self.put(svc.FAILURE)
+
+
+class ClientConnection:
+    def __init__(self, stream: IOStream, service: Service) -> None:
+        self.stream, self.service = stream, service
+        self.buffer = ReadBuffer(resp.MAX_MESSAGE)
+        self.slots: deque[Slot] = deque()
+        self.written: asyncio.Future[None] | None = None
+        self.room: asyncio.Future[None] | None = None  # what a paused reader waits for
+        self.last = False  # no further command is read
+        self.commands, self.reason = 0, ""
+        self.task: asyncio.Task[None] | None = None
+        stream.set_nodelay(True)
+
+    async def run(self) -> None:
+        """Read commands until the connection ends; one line in the log says why it did."""
+        try:
+            while not self.last:
+                await self._take_whole()
+                await self.buffer.fill(self.stream)
+        except StreamClosedError as closed:
+            self._end("client_reset" if closed.real_error else "client_closed")
+        except (resp.ProtocolError, TooLong) as error:
+            self.service.counters.add("malformed_commands")
+            self.last, self.reason = True, "malformed_command"
+            self._slot().put(resp.error(f"ERR {error}"))
+        except Exception:
+            self.service.counters.add("exceptions")
+            log.trouble("client_connection_exception")
+            self._end("exception")
+
+    async def _take_whole(self) -> None:
+        """Take every whole command that has been read, no faster than answers go out."""
+        while found := resp.parse_command(self.buffer.data, self.buffer.start, self.buffer.end):
+            self.buffer.consume(found[1])
+            self.commands += 1
+            self._take(found[0])
+            while len(self.slots) >= MOST_PENDING:
+                self.room = asyncio.get_running_loop().create_future()
+                await self.room
+            if self.written is not None and not self.written.done():
+                await self.written
+
+    def _slot(self) -> Slot:
+        slot = Slot(self)
+        self.slots.append(slot)
+        return slot
+
+    def _take(self, words: list[memoryview]) -> None:
+        slot, driver = self._slot(), self.service.driver
+        if bytes(words[0]).upper() == b"PING":
+            slot.put(b"+PONG\r\n" if self.service.ready() else resp.error("ERR not ready"))
+            return
+        try:
+            intake = svc.intake(words)
+            context = take_in(intake, slot, driver.settings, next(self.service.refs), driver.now())
+        except (svc.BadCommand, Unacceptable) as error:
+            self.service.counters.add("commands_unacceptable")
+            slot.put(resp.error(f"ERR {error}"))
+            return
+        slot.context = context
+        admit(context, driver, self.service.max_open)
+
+    def flush(self) -> None:
+        """Write the answers that are next in order."""
+        ready: list[bytes] = []
+        while self.slots and (data := self.slots[0].data) is not None:
+            ready.append(data)
+            self.slots.popleft()
+        if ready and not self.stream.closed():
+            try:
+                self.written = self.stream.write(b"".join(ready))
+            except StreamBufferFullError:
+                self._end("slow_client")
+            except StreamClosedError:
+                self._end("client_reset")
+        if self.room is not None and not self.room.done() and len(self.slots) < MOST_PENDING:
+            self.room.set_result(None)
+        if self.last or self.service.draining:
+            self.close_if_done()
+
+    def close_if_done(self) -> None:
+        """Close a connection that is to end, once nothing is owed on it and all is written."""
+        if self.slots or (self.buffer.start != self.buffer.end and not self.last):
+            return
+        if self.written is not None and not self.written.done():
+            self.written.add_done_callback(lambda _: self.close_if_done())
+        else:
+            self._end(self.reason or "drained")
+
+    def _end(self, reason: str) -> None:
+        if self not in self.service.connections:
+            return
+        self.service.connections.discard(self)
+        self.last = True
+        self.stream.close()
+        log.say("client_connection_ended", reason=reason, commands=self.commands, owed=len(self.slots))
+        for slot in self.slots:
+            if slot.context is not None and slot.context.open:
+                self.service.driver.gone(slot.context)
+        self.slots.clear()
+        if self.room is not None and not self.room.done():
+            self.room.set_result(None)
--- /dev/null
+++ b/mapleshunt/net/config.py
@@ -0,0 +1,102 @@
+"""The configuration that `$PROXY_CONFIG` names."""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from .. import interface as i
+from ..simhost import settings_of
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """A configuration the gateway cannot start with; its text is for the operator."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    peer_listen: Address | None
+    peers: tuple[Address, ...]
+    peers_all: Address | None
+    known: Mapping[str, Any] | None
+    settings: i.Settings
+    dial_timeout: float  # ms
+    conn_idle: float  # ms
+    max_open: int  # requests held at once
+
+
+def address(text: object, what: str) -> Address:
+    host, _, port = str(text).rpartition(":")
+    if not host or not (port.isascii() and port.isdigit() and 0 <= int(port) < 65536):
+        raise ConfigError(f"{what} must be HOST:PORT, not {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def family_of(where: Address) -> socket.AddressFamily:
+    return socket.AF_INET6 if ":" in where[0] else socket.AF_INET
+
+
+def _seed(value: object) -> int:
+    try:
+        return int(str(value), 16)
+    except ValueError:
+        raise ConfigError(f"seed must be hex digits, not {value!r}") from None
+
+
+def parse(text: str, env: Mapping[str, str]) -> Config:
+    """The configuration, with the variables that name one of its values taking its place."""
+    try:
+        raw = json.loads(text)
+    except ValueError as error:
+        raise ConfigError(f"the configuration is not JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError("the configuration must be a JSON object")
+    try:
+        settings = settings_of(raw["settings"])
+        limits = raw["settings"]["PolicyLimits"]
+        peers = tuple(address(peer, "peers") for peer in raw.get("peers") or ())
+        if settings.peers and len(peers) != settings.instances:
+            raise ConfigError(f"peers must name {settings.instances} gateways, not {len(peers)}")
+        together = settings.peers and settings.instances > 1
+        return Config(
+            name=env.get("PROXY_NAME") or str(raw["name"]),
+            listen=address(env.get("PROXY_LISTEN") or raw["listen"], "listen"),
+            discovery=address(env.get("PROXY_DISCOVERY") or raw["discovery"], "discovery"),
+            seed=_seed(raw.get("seed") or "0"),
+            sockets=int((raw.get("limits") or {}).get("sockets") or 1024),
+            peer_listen=address(raw["peer_listen"], "peer_listen") if together else None,
+            peers=peers,
+            peers_all=address(raw["peers_all"], "peers_all") if together else None,
+            known=raw.get("known"),
+            settings=settings,
+            dial_timeout=float(limits.get("DialTimeout") or 250.0),
+            conn_idle=float(limits.get("ConnIdle") or 30000.0),
+            max_open=int(limits.get("MaxOpen") or 10000),
+        )
+    except KeyError as error:
+        raise ConfigError(f"the configuration lacks {error}, or does not know it") from None
+    except (TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"the configuration makes no sense: {error}") from None
+
+
+def load(env: Mapping[str, str] = os.environ) -> Config:
+    path = env.get("PROXY_CONFIG")
+    if not path:
+        raise ConfigError("PROXY_CONFIG must name the configuration file")
+    try:
+        with open(path, encoding="utf-8") as file:
+            text = file.read()
+    except (OSError, UnicodeDecodeError) as error:
+        raise ConfigError(f"the configuration cannot be read: {error}") from None
+    return parse(text, env)
--- /dev/null
+++ b/mapleshunt/net/context.py
@@ -0,0 +1,100 @@
+"""What the gateway holds of one request, whatever protocol it came in."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from .. import interface as i
+
+
+class Message(Protocol):
+    """The request as its client worded it, to be passed on."""
+
+    def encode(self, wait: int) -> bytes:
+        """What goes to a till server, told that the gateway waits `wait` ms."""
+
+
+class Answer(Protocol):
+    """Where the one final answer goes. Each protocol words the three answers in its own way."""
+
+    def serve(self, value: memoryview) -> None: ...
+
+    def reject(self, wait: float) -> None: ...
+
+    def fail(self) -> None: ...
+
+
+class Connection(Protocol):
+    """What a try is out on."""
+
+    def close(self, reason: str) -> None: ...
+
+
+@dataclass(slots=True, frozen=True)
+class Intake:
+    """What a request says of itself, read but not yet checked against the settings."""
+
+    cls: str
+    plan: str
+    customer: str
+    patience: float
+    units: float
+    spread: int
+    first: int
+    retry: bool
+    key: bool  # it carries an idempotency key
+    query: bool  # it says that it may be repeated
+    message: Message
+
+
+@dataclass(slots=True, frozen=True)
+class Ending:
+    """How a try ended; `value` only with "ok"."""
+
+    status: i.Status
+    value: memoryview | None = None
+    cost: float = 0.0
+
+
+@dataclass(slots=True)
+class Try:
+    number: int
+    server: int
+    sent: float  # on the driver's clock
+    until: float  # when the gateway stops waiting
+    connection: Connection | None = None
+    given_up: i.Status | None = None
+    task: asyncio.Task[None] | None = None
+
+    def give_up(self, status: i.Status) -> None:
+        """Stop waiting. The connection ends too: an answer still to come on it would be the next try's."""
+        if self.given_up is None:
+            self.given_up = status
+            if self.connection is not None:
+                self.connection.close(status)
+
+
+@dataclass(slots=True)
+class RequestContext:
+    ref: int
+    request: i.Request
+    message: Message
+    answer: Answer
+    taken: float  # on the driver's clock
+    tries: list[Try] = field(default_factory=list)
+    guard: asyncio.TimerHandle | None = None
+    open: bool = True  # the final answer is still owed
+
+    @property
+    def due(self) -> float:
+        return self.taken + self.request.patience
+
+    def end(self) -> bool:
+        """Claim the right to give the final answer; False if that has been done."""
+        was, self.open = self.open, False
+        if self.guard is not None:
+            self.guard.cancel()
+            self.guard = None
+        return was
--- /dev/null
+++ b/mapleshunt/net/counters.py
@@ -0,0 +1,21 @@
+"""What the gateway took in, sent and answered."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from . import log
+
+
+class Counters:
+    """Counts by name. Printed on SIGUSR1 and at exit."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+
+    def add(self, name: str, amount: int = 1) -> None:
+        self.counts[name] += amount
+
+    def print(self, **gauges: object) -> None:
+        fields: dict[str, object] = {**dict(sorted(self.counts.items())), **gauges}
+        log.say("counters", **fields)
--- /dev/null
+++ b/mapleshunt/net/driver.py
@@ -0,0 +1,150 @@
+"""The driver: the only caller of `Gateway.handle`. It keeps clock and timers and carries out actions."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import deque
+from collections.abc import Callable
+
+from .. import interface as i
+from ..control import Gateway
+from . import log
+from .context import Ending, RequestContext, Try
+from .counters import Counters
+from .stages import relay
+from .stages.book import book
+from .stages.route import route
+from .stages.send import send
+from .upstream import UpstreamGroup
+
+GUARD = 4.0  # ms before a request's patience ends at which the driver answers if the decisions have not
+
+
+class Clock:
+    """Unix time in ms that advances evenly: servers' starts, which are told in Unix time, are on it."""
+
+    def __init__(self) -> None:
+        self.origin = (time.time() - time.monotonic()) * 1000
+
+    def __call__(self) -> float:
+        return self.origin + time.monotonic() * 1000
+
+
+class Driver:
+    def __init__(self, settings: i.Settings, seed: int, group: UpstreamGroup, counters: Counters) -> None:
+        self.settings, self.group, self.counters = settings, group, counters
+        self.now = Clock()
+        self.tell: Callable[[int, str], None] = lambda peer, text: None
+        self.gateway = Gateway(settings, seed, self.now())
+        self.loop = asyncio.get_running_loop()
+        self.open: dict[int, RequestContext] = {}  # requests that are owed an answer
+        self.out: dict[tuple[int, int], Try] = {}  # tries that have not ended
+        self.events: deque[i.Event] = deque()
+        self.busy = False
+        self._carry_out(self.gateway.start())
+
+    # Events
+
+    def take(self, context: RequestContext) -> None:
+        self.open[context.ref] = context
+        left = context.due - GUARD - self.now()
+        context.guard = self.loop.call_later(left / 1000, self._guard, context)
+        self.feed(context.request)
+
+    def gone(self, context: RequestContext) -> None:
+        """The client has left: nothing is owed to it any more."""
+        if context.end():
+            self.counters.add("clients_gone")
+            self.forget(context)
+            self.feed(i.ClientGone(context.ref))
+
+    def forget(self, context: RequestContext) -> None:
+        self.open.pop(context.ref, None)
+
+    def feed(self, event: i.Event) -> None:
+        """Handle an event and what it leads to. Events that come up meanwhile follow in their order."""
+        self.events.append(event)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.events:
+                self._handle(self.events.popleft())
+        finally:
+            self.busy = False
+
+    def _handle(self, event: i.Event) -> None:
+        try:
+            actions = self.gateway.handle(self.now(), event)
+        except Exception:
+            # One bad event must not end the program: its request is answered, the others go on.
+            self.counters.add("exceptions")
+            log.trouble("decision_exception", kind=type(event).__name__)
+            if isinstance(event, i.Request | i.Outcome) and (context := self.open.pop(event.ref, None)):
+                relay.fail(context, self.counters)
+            return
+        self._carry_out(actions)
+
+    def _guard(self, context: RequestContext) -> None:
+        """Rule 1's net: whatever went wrong, a request gets its answer before its client gives up."""
+        if context.open:
+            self.counters.add("guard_answers")
+            log.say("guard_answer", ref=context.ref, cls=context.request.cls, tries=len(context.tries))
+            self.forget(context)
+            relay.fail(context, self.counters)
+            self.feed(i.ClientGone(context.ref))
+
+    # Actions
+
+    def _carry_out(self, actions: list[i.Action]) -> None:
+        for action in actions:
+            try:
+                self._do(action)
+            except Exception:
+                self.counters.add("exceptions")
+                log.trouble("action_exception", kind=type(action).__name__)
+
+    def _do(self, action: i.Action) -> None:
+        match action:
+            case i.Send():
+                self._send(action)
+            case i.Refuse(ref, wait):
+                if context := self.open.pop(ref, None):
+                    relay.reject(context, wait, self.counters)
+            case i.Fail(ref):
+                if context := self.open.pop(ref, None):
+                    relay.fail(context, self.counters)
+            case i.Cancel(ref, number):
+                if attempt := self.out.get((ref, number)):
+                    attempt.give_up("cancelled")
+            case i.SetTimer(at, token):
+                self.loop.call_later(max(0.0, at - self.now()) / 1000, self.feed, i.Timer(token))
+            case i.Tell(peer, data):
+                self.tell(peer, data)
+            case i.Watch():
+                pass  # discovery is always watched
+
+    def _send(self, action: i.Send) -> None:
+        if (context := self.open.get(action.ref)) is None:
+            self.counters.add("sends_too_late")
+            return
+        attempt = route(context, action, self.now())
+        self.out[context.ref, attempt.number] = attempt
+        self.counters.add("tries_sent")
+        attempt.task = self.loop.create_task(self._try(context, attempt))
+
+    async def _try(self, context: RequestContext, attempt: Try) -> None:
+        left = attempt.until - self.now()
+        limit = self.loop.call_later(left / 1000, attempt.give_up, "timeout")
+        try:
+            ending = await send(context, attempt, self.group, left)
+        except Exception:
+            self.counters.add("exceptions")
+            log.trouble("try_exception", ref=context.ref)
+            attempt.give_up("reset")
+            ending = Ending("reset")  # nobody knows how far it came: it may have run
+        finally:
+            limit.cancel()
+        del self.out[context.ref, attempt.number]
+        book(context, attempt, ending, self)
--- /dev/null
+++ b/mapleshunt/net/http.py
@@ -0,0 +1,85 @@
+"""HTTP/1.1 as discovery speaks it: a pure parser for responses, and the encoder for a GET."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+MAX_HEAD = 8192
+MAX_BODY = 1 << 20
+MAX_MESSAGE = MAX_HEAD + MAX_BODY
+END = b"\r\n\r\n"
+
+
+class ProtocolError(Exception):
+    """Bytes that are no response this client can read."""
+
+
+@dataclass(slots=True, frozen=True)
+class Response:
+    status: int
+    body: bytes | memoryview
+    keep: bool  # the connection may carry a further request
+
+
+def _headers(head: bytes) -> tuple[int, dict[str, str]]:
+    lines = head.decode("latin-1").split("\r\n")
+    version, _, rest = lines[0].partition(" ")
+    code = rest[:3]
+    if not version.startswith("HTTP/1.") or not (len(code) == 3 and code.isdigit()):
+        raise ProtocolError("a status line is malformed")
+    fields: dict[str, str] = {}
+    for line in lines[1:]:
+        name, colon, value = line.partition(":")
+        if not colon or not name or name != name.strip():
+            raise ProtocolError("a header is malformed")
+        fields[name.lower()] = value.strip()
+    return int(code), fields
+
+
+def _chunked(data: bytearray, at: int, end: int) -> tuple[bytes, int] | None:
+    parts: list[bytes] = []
+    total = 0
+    while True:
+        eol = data.find(b"\r\n", at, min(end, at + 64))
+        if eol < 0:
+            if end - at >= 64:
+                raise ProtocolError("a chunk's size is malformed")
+            return None
+        digits = bytes(data[at:eol]).partition(b";")[0].strip()
+        if not digits or len(digits) > 8 or digits.strip(b"0123456789abcdefABCDEF"):
+            raise ProtocolError("a chunk's size is malformed")
+        size, at = int(digits, 16), eol + 2
+        if (total := total + size) > MAX_BODY:
+            raise ProtocolError("a body is too long")
+        if at + size + 2 > end:
+            return None
+        if data[at + size : at + size + 2] != b"\r\n":
+            raise ProtocolError("a chunk does not end where it should")
+        if size == 0:
+            return b"".join(parts), at + 2
+        parts.append(bytes(data[at : at + size]))
+        at += size + 2
+
+
+def parse_response(data: bytearray, start: int, end: int) -> tuple[Response, int] | None:
+    """A whole response and where it ends, or None until it is whole."""
+    at = data.find(END, start, min(end, start + MAX_HEAD))
+    if at < 0:
+        if end - start >= MAX_HEAD:
+            raise ProtocolError("a head is too long")
+        return None
+    status, fields = _headers(bytes(data[start:at]))
+    keep, at = fields.get("connection", "").lower() != "close", at + len(END)
+    if fields.get("transfer-encoding", "").lower() == "chunked":
+        found = _chunked(data, at, end)
+        return found and (Response(status, found[0], keep), found[1])
+    size = fields.get("content-length", "")
+    if not (size.isascii() and size.isdigit()) or int(size) > MAX_BODY:
+        raise ProtocolError("a body's length is missing or too large")
+    if at + int(size) > end:
+        return None
+    return Response(status, memoryview(data)[at : at + int(size)], keep), at + int(size)
+
+
+def get(path: str, host: str) -> bytes:
+    return f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode("ascii")
--- /dev/null
+++ b/mapleshunt/net/stages/book.py
@@ -0,0 +1,30 @@
+"""Book: tell the decisions how a try ended, with what it cost; a served value is relayed first."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ... import interface as i
+from ..context import Ending, RequestContext, Try
+from . import relay
+
+if TYPE_CHECKING:
+    from ..driver import Driver
+
+
+def book(context: RequestContext, attempt: Try, ending: Ending, driver: Driver) -> None:
+    driver.counters.add(f"tries_{ending.status}")
+    if ending.value is not None and context.open:
+        relay.serve(context, ending.value, driver.counters)
+        driver.forget(context)
+    driver.feed(
+        i.Outcome(
+            ref=context.ref,
+            status=ending.status,
+            closed=not context.open,
+            attempt=attempt.number,
+            server=attempt.server,
+            latency=driver.now() - attempt.sent,
+            cost=ending.cost,
+        )
+    )
--- /dev/null
+++ b/mapleshunt/net/stages/route.py
@@ -0,0 +1,13 @@
+"""Route: turn the decision to send into a try with a till server and a time limit."""
+
+from __future__ import annotations
+
+from ... import interface as i
+from ..context import RequestContext, Try
+
+
+def route(context: RequestContext, action: i.Send, now: float) -> Try:
+    until = min(now + action.timeout, context.due) if action.timeout else context.due
+    attempt = Try(number=len(context.tries), server=action.server, sent=now, until=until)
+    context.tries.append(attempt)
+    return attempt
--- /dev/null
+++ b/mapleshunt/net/stages/send.py
@@ -0,0 +1,35 @@
+"""Send: one try at one till server, and the exact word for how it ended."""
+
+from __future__ import annotations
+
+from ..context import Ending, RequestContext, Try
+from ..upstream import ConnectionLost, DialFailed, NoRoom, UpstreamGroup
+
+
+async def send(context: RequestContext, attempt: Try, group: UpstreamGroup, left: float) -> Ending:
+    """`left` is for how many ms the gateway will wait.
+
+    Whether a try may have run decides if it may be repeated. It may have, once its last byte was written;
+    before that it never ran, whatever broke or was given up.
+    """
+    try:
+        connection = group.idle(attempt.server)
+        if connection is None:
+            connection = group.connection(attempt.server)
+            attempt.connection = connection
+            await connection.connect()
+        attempt.connection = connection
+        if attempt.given_up is not None or left < 1:
+            group.release(connection)
+            return Ending("unsent")
+        reply = await connection.exchange(context.message.encode(int(left)))
+    except NoRoom:
+        return Ending("unsent")
+    except DialFailed:
+        return Ending("unreachable" if attempt.given_up is None else "unsent")
+    except ConnectionLost as lost:
+        if attempt.given_up is not None:
+            return Ending(attempt.given_up if lost.written else "unsent")
+        return Ending("reset" if lost.written else "unreachable")
+    group.release(connection)
+    return reply
--- /dev/null
+++ b/mapleshunt/net/svc.py
@@ -0,0 +1,109 @@
+"""The `SVC` commands on RESP: a client's request, the command to a till server, and its reply."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Sequence
+
+from . import resp
+from .context import Ending, Intake
+
+QUERY, SUBMIT = b"SVC.QUERY", b"SVC.SUBMIT"
+CUSTOMER = re.compile(r"[0-9a-f]{16}")
+WAIT = re.compile(r"[0-9]{1,7}(\.[0-9]{1,6})?")
+UNITS = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?")
+COUNT = re.compile(r"[0-9]{1,6}")
+
+
+class BadCommand(Exception):
+    """A whole command that asks for nothing this gateway does; its text goes to the client."""
+
+
+class SvcMessage:
+    """A client's words. Nothing but `d` changes on the way."""
+
+    __slots__ = ("pairs", "words")
+
+    def __init__(self, words: Sequence[memoryview], pairs: dict[str, str]) -> None:
+        self.words, self.pairs = words, pairs
+
+    def encode(self, wait: int) -> bytes:
+        pairs = ",".join([f"{name}={wait if name == 'd' else value}" for name, value in self.pairs.items()])
+        return resp.command([*self.words[:3], pairs.encode("ascii"), *self.words[4:]])
+
+
+def _pairs(word: memoryview) -> dict[str, str]:
+    try:
+        text = str(word, "ascii")
+    except UnicodeDecodeError:
+        raise BadCommand("names and values must be ASCII") from None
+    pairs: dict[str, str] = {}
+    for item in text.split(","):
+        name, equals, value = item.partition("=")
+        if not name or not equals or name in pairs:
+            raise BadCommand("names and values must be name=value, each name once")
+        pairs[name] = value
+    return pairs
+
+
+def _figure(pairs: dict[str, str], name: str, form: re.Pattern[str], default: str = "") -> str:
+    value = pairs.get(name, default)
+    if not form.fullmatch(value):
+        raise BadCommand(f"{name} is missing or malformed")
+    return value
+
+
+def intake(words: Sequence[memoryview]) -> Intake:
+    """Read a request. Raises `BadCommand`."""
+    verb = bytes(words[0]).upper()
+    if verb not in (QUERY, SUBMIT):
+        raise BadCommand("unknown command")
+    if len(words) not in ((4,) if verb == QUERY else (4, 5)):
+        raise BadCommand("wrong number of words")
+    customer = bytes(words[1]).decode("latin-1")
+    if not CUSTOMER.fullmatch(customer):
+        raise BadCommand("the customer must be 16 hex digits")
+    pairs = _pairs(words[3])
+    patience = float(_figure(pairs, "d", WAIT))
+    if patience <= 0:
+        raise BadCommand("d is missing or malformed")
+    return Intake(
+        cls=pairs.get("c", ""),
+        plan=pairs.get("t", ""),
+        customer=customer,
+        patience=patience,
+        units=float(_figure(pairs, "units", UNITS, "1")),
+        spread=int(_figure(pairs, "spread", COUNT, "1")),
+        first=int(_figure(pairs, "first", COUNT, "0")),
+        retry=pairs.get("r") == "1",
+        key=bool(pairs.get("k")),
+        query=verb == QUERY,
+        message=SvcMessage(words, pairs),
+    )
+
+
+def _cost(figures: resp.Reply) -> float:
+    """The true units in figures on use such as `used=37,cost=4`; 0 if they do not tell."""
+    if isinstance(figures, memoryview):
+        for item in str(figures, "latin-1").split(","):
+            name, _, value = item.partition("=")
+            if name == "cost" and UNITS.fullmatch(value):
+                return float(value)
+    return 0.0
+
+
+def ending(reply: resp.Reply) -> Ending:
+    """How a try ended that a till server replied to. Raises `resp.ProtocolError`."""
+    match reply:
+        case [memoryview() as value, figures, _]:
+            return Ending("ok", value, _cost(figures))
+        case resp.ErrorLine(text):
+            return Ending("full" if text.split(" ", 1)[0] == "BUSY" else "error")
+    raise resp.ProtocolError("a till server's reply has none of the known forms")
+
+
+def rejection(wait: float) -> bytes:
+    return resp.error(f"BUSY {max(1, round(wait))}" if wait > 0 else "BUSY")
+
+
+FAILURE = resp.error("ERR failed")
--- /dev/null
+++ b/mapleshunt/net/upstream.py
@@ -0,0 +1,229 @@
+"""The upstream group: the till servers that discovery names, and the connections to them.
+
+A connection carries one try at a time. Answers come in the order of commands, so a try that is given up
+ends its connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+import zlib
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from .. import interface as i
+from . import log, resp, svc
+from .buffer import ReadBuffer, TooLong
+from .config import Address, family_of
+from .context import Ending
+from .counters import Counters
+
+
+class NoRoom(Exception):
+    """No descriptor is left, or the server is not known: nothing was sent."""
+
+
+class DialFailed(Exception):
+    """The connection never came up."""
+
+
+class ConnectionLost(Exception):
+    """The connection ended under a try. `written`: after the try's last byte was written."""
+
+    def __init__(self, written: bool) -> None:
+        super().__init__()
+        self.written = written
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    """A till server in discovery's list."""
+
+    id: str
+    address: Address
+    zone: str
+    cell: int
+    state: i.ServerState
+    started: float  # ms, Unix time; 0 for long ago
+
+    @property
+    def number(self) -> int:
+        """Peers tell each other of servers by number: it comes from the id alone, alike at every gateway."""
+        return zlib.crc32(self.id.encode())
+
+
+class ServerConnection:
+    """A connection to a till server."""
+
+    def __init__(self, server: TillServer, group: UpstreamGroup) -> None:
+        self.server, self.group = server, group
+        self.stream = IOStream(socket.socket(family_of(server.address)), max_buffer_size=4 * resp.MAX_MESSAGE)
+        self.buffer = ReadBuffer(resp.MAX_MESSAGE)
+        self.waiting: asyncio.Future[Ending] | None = None
+        self.tries, self.reason = 0, ""
+        self.idle_since = 0.0
+        self.reader: asyncio.Task[None] | None = None
+        group.connections.add(self)
+
+    async def connect(self) -> None:
+        loop = asyncio.get_running_loop()
+        limit = loop.call_later(self.group.dial_timeout / 1000, self.close, "dial_timeout")
+        self.group.counters.add("dials")
+        try:
+            await self.stream.connect(self.server.address)
+        except (StreamClosedError, OSError):
+            self.close(self.reason or "dial_failed")
+            raise DialFailed from None
+        finally:
+            limit.cancel()
+        self.stream.set_nodelay(True)
+        self.reader = loop.create_task(self._read())
+
+    def alive(self) -> bool:
+        """Has nothing come on an idle connection, its end above all?
+
+        A command written behind an unread end is lost as one that may have run, so the end is looked for.
+        """
+        if self.stream.closed():
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK)
+        except OSError as error:
+            return error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
+        return False
+
+    async def exchange(self, data: bytes) -> Ending:
+        """Write a command and wait for how it ends. Raises `ConnectionLost`."""
+        if self.stream.closed():
+            raise ConnectionLost(written=False)
+        self.waiting = asyncio.get_running_loop().create_future()
+        self.tries += 1
+        written = self.stream.write(data)
+        try:
+            return await self.waiting
+        except StreamClosedError:
+            raise ConnectionLost(written.done() and written.exception() is None) from None
+        finally:
+            self.waiting = None
+
+    async def _read(self) -> None:
+        reason = "server_closed"
+        try:
+            while True:
+                await self.buffer.fill(self.stream)
+                while found := resp.parse_reply(self.buffer.data, self.buffer.start, self.buffer.end):
+                    if self.waiting is None or self.waiting.done():
+                        raise resp.ProtocolError("a reply to nothing")
+                    self.buffer.consume(found[1])
+                    self.waiting.set_result(svc.ending(found[0]))
+        except StreamClosedError as closed:
+            reason = "server_reset" if closed.real_error else reason
+        except (resp.ProtocolError, TooLong) as error:
+            reason = "malformed_reply"
+            self.group.counters.add("malformed_replies")
+            log.say("malformed_reply", server=self.server.member.id, why=error)
+        except Exception:
+            reason = "exception"
+            self.group.counters.add("exceptions")
+            log.trouble("server_connection_exception", server=self.server.member.id)
+        self.close(reason)
+
+    def close(self, reason: str) -> None:
+        if self not in self.group.connections:
+            return
+        self.group.connections.discard(self)
+        self.reason = reason
+        if self in self.server.idle:
+            self.server.idle.remove(self)
+        self.stream.close()
+        if self.waiting is not None and not self.waiting.done():
+            self.waiting.set_exception(StreamClosedError())
+        log.say("server_connection_ended", server=self.server.member.id, reason=reason, tries=self.tries)
+
+
+@dataclass(slots=True, eq=False)
+class TillServer:
+    member: Member
+    idle: list[ServerConnection] = field(default_factory=list)  # the last one used at the end
+
+    @property
+    def address(self) -> Address:
+        return self.member.address
+
+
+class UpstreamGroup:
+    def __init__(self, counters: Counters, dial_timeout: float, idle_limit: float, most: int) -> None:
+        self.counters, self.most = counters, most
+        self.dial_timeout, self.idle_limit = dial_timeout, idle_limit  # ms
+        self.servers: dict[int, TillServer] = {}
+        self.connections: set[ServerConnection] = set()
+
+    # Members
+
+    def update(self, kind: i.ListKind, members: Sequence[Member]) -> i.Members:
+        """Take over a list or a change of it, and word it for the decisions."""
+        for member in members:
+            server = self.servers.setdefault(member.number, TillServer(member))
+            moved = server.member.address != member.address or server.member.started != member.started
+            server.member = member
+            if moved or member.state == "gone":
+                self._drop_idle(server, "server_moved" if moved else "server_gone")
+        if kind != "partial":
+            listed = {member.number for member in members}
+            for number, server in self.servers.items():
+                if number not in listed:
+                    self._drop_idle(server, "server_gone")
+        entries = tuple(i.ServerEntry(m.number, m.zone, m.cell, m.state, m.started) for m in members)
+        return i.Members(kind, entries)
+
+    # Connections
+
+    def idle(self, number: int) -> ServerConnection | None:
+        """An idle connection to a server, the one used last."""
+        server = self.servers.get(number)
+        while server is not None and server.idle:
+            connection = server.idle.pop()
+            if connection.alive():
+                return connection
+            connection.close("server_closed")
+        return None
+
+    def connection(self, number: int) -> ServerConnection:
+        """A new connection to a server, to be connected. Raises `NoRoom`."""
+        server = self.servers.get(number)
+        if server is None:
+            raise NoRoom
+        if len(self.connections) >= self.most:
+            idle = [one for other in self.servers.values() for one in other.idle[:1]]
+            if not idle:
+                raise NoRoom
+            min(idle, key=lambda one: one.idle_since).close("made_room")
+        try:
+            return ServerConnection(server, self)
+        except OSError:
+            self.counters.add("out_of_descriptors")
+            raise NoRoom from None
+
+    def release(self, connection: ServerConnection) -> None:
+        """A try has ended and its connection may carry the next."""
+        if connection in self.connections:
+            connection.idle_since = asyncio.get_running_loop().time()
+            connection.server.idle.append(connection)
+
+    def sweep(self) -> None:
+        """Close what has been idle for long, well before the till server does."""
+        oldest = asyncio.get_running_loop().time() - self.idle_limit / 1000
+        for connection in [c for s in self.servers.values() for c in s.idle if c.idle_since < oldest]:
+            connection.close("idle")
+
+    def close(self) -> None:
+        for connection in list(self.connections):
+            connection.close("shutdown")
+
+    def _drop_idle(self, server: TillServer, reason: str) -> None:
+        for connection in list(server.idle):
+            connection.close(reason)
