--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,205 @@
+"""A client connection against a model of its states, over a socket pair, by random steps."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from typing import Any, cast
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+from tornado.iostream import IOStream
+
+from mapleshunt.interface import Settings
+from mapleshunt.net import client, resp
+from mapleshunt.net.context import RequestContext
+from mapleshunt.net.counters import Counters
+from mapleshunt.net.driver import Driver
+
+from .conftest import CLASSES, PLANS
+
+settings.register_profile("steady", derandomize=True, deadline=None, database=None)
+settings.load_profile("steady")
+
+WHO, ID = b"00000000b4d65521", b"9b1f03aa5c7e2d41"
+
+
+class Decisions:
+    """Stands for the driver: holds what was taken until a step answers it."""
+
+    def __init__(self) -> None:
+        self.settings = Settings(me=0, instances=1, classes=CLASSES, plans=PLANS)
+        self.counters, self.open = Counters(), dict[int, RequestContext]()
+        self.left: list[RequestContext] = []
+
+    def now(self) -> float:
+        return 0.0
+
+    def take(self, context: RequestContext) -> None:
+        self.open[context.ref] = context
+
+    def gone(self, context: RequestContext) -> None:
+        if context.end():
+            self.left.append(context)
+
+
+def query(extra: bytes = b"c=look,t=wide,d=480") -> bytes:
+    return resp.command([b"SVC.QUERY", WHO, ID, extra])
+
+
+class ClientModel(RuleBasedStateMachine):
+    """Open, ending (a malformed command, or draining), and ended; answers in the order of commands."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.decisions = Decisions()
+        self.order: deque[list[Any]] = deque()  # [context or None, the answer's bytes or None]
+        self.expected = self.received = b""
+        self.rest = b""  # of a command that was sent in part
+        self.malformed = self.left = self.ended = self.served = False
+
+    def do(self, step: Any = None) -> None:
+        """Run a step on the loop, then let it come to rest."""
+
+        async def run() -> None:
+            if step is not None:
+                step()
+            for _ in range(6):
+                await asyncio.sleep(0)
+
+        self.loop.run_until_complete(run())
+        while self.theirs.fileno() >= 0:
+            try:
+                data = self.theirs.recv(65536)
+            except (BlockingIOError, ConnectionResetError):
+                return
+            if not data:
+                return
+            self.received += data
+
+    @initialize()
+    def connect(self) -> None:
+        ours, self.theirs = socket.socketpair()
+        self.theirs.setblocking(False)
+
+        def start() -> None:
+            self.service = client.Service(cast(Driver, self.decisions), Counters(), 1, 1000)
+            self.service.serve(IOStream(ours))
+            (self.connection,) = self.service.connections
+
+        self.do(start)
+
+    def model(self) -> None:
+        """What the model holds after a step."""
+        while self.order and self.order[0][1] is not None:
+            self.expected += self.order.popleft()[1]
+        if not self.order and (self.malformed or (self.service.draining and not self.rest)):
+            self.ended = True
+
+    def sends(self, data: bytes, answer: bytes | None, whole: bool = True) -> None:
+        before = set(self.decisions.open)
+        self.do(lambda: self.theirs.send(data))
+        if whole and not self.malformed:
+            new = set(self.decisions.open) - before
+            assert len(new) == (answer is None)
+            self.order.append([self.decisions.open[new.pop()] if new else None, answer])
+
+    open_now = precondition(lambda self: not (self.ended or self.left or self.rest or self.malformed))
+
+    @open_now
+    @rule()
+    def asks(self) -> None:
+        self.sends(query(), None)
+        self.model()
+
+    @open_now
+    @rule(cut=st.integers(1, 80))
+    def asks_in_part(self, cut: int) -> None:
+        self.rest = query()[cut:]
+        self.sends(query()[:cut], None, whole=False)
+
+    @precondition(lambda self: self.rest and not self.ended and not self.left)
+    @rule()
+    def completes(self) -> None:
+        rest, self.rest = self.rest, b""
+        self.sends(rest, None)
+        self.model()
+
+    @open_now
+    @rule()
+    def pings(self) -> None:
+        self.sends(resp.command([b"PING"]), b"+PONG\r\n")
+        self.model()
+
+    @open_now
+    @rule(bad=st.sampled_from([
+        (b"c=look,t=wide,d=x", b"-ERR d is missing or malformed\r\n"),
+        (b"c=look,t=wide,d=0", b"-ERR d is missing or malformed\r\n"),
+        (b"c=odd,t=wide,d=9", b"-ERR unknown class\r\n"),
+        (b"c=look,t=odd,d=9", b"-ERR unknown plan\r\n"),
+        (b"c=note,t=wide,d=9", b"-ERR this class goes by the other command\r\n"),
+        (b"c=look,c=look", b"-ERR names and values must be name=value, each name once\r\n"),
+    ]))
+    def asks_what_is_not_to_be_had(self, bad: tuple[bytes, bytes]) -> None:
+        self.sends(query(bad[0]), bad[1])
+        self.model()
+
+    @open_now
+    @rule(data=st.sampled_from([b"GET / HTTP/1.1\r\n", b"*1\r\n$70000\r\n"]))
+    def is_malformed(self, data: bytes) -> None:
+        self.do(lambda: self.theirs.send(data))
+        self.malformed = True
+        why = b"a command begins with *" if data[:1] == b"G" else b"a value is longer than 65536 bytes"
+        self.order.append([None, b"-ERR " + why + b"\r\n"])
+        self.model()
+
+    @precondition(lambda self: self.decisions.open)
+    @rule(pick=st.integers(0, 99), how=st.sampled_from(["serve", "reject", "fail"]))
+    def answers(self, pick: int, how: str) -> None:
+        ref = sorted(self.decisions.open)[pick % len(self.decisions.open)]
+        context = self.decisions.open.pop(ref)
+        if context.end():
+            step, data = {
+                "serve": (lambda: context.answer.serve(memoryview(b"v%d" % ref)), resp.bulk(b"v%d" % ref)),
+                "reject": (lambda: context.answer.reject(12.4), b"-BUSY 12\r\n"),
+                "fail": (lambda: context.answer.fail(), b"-ERR failed\r\n"),
+            }[how]
+            for place in self.order:
+                if place[0] is context:
+                    place[1] = data
+            self.do(step)
+            self.model()
+
+    @rule()
+    def drains(self) -> None:
+        self.do(self.service.drain)
+        self.model()
+
+    @precondition(lambda self: not self.ended and not self.left)
+    @rule()
+    def leaves(self) -> None:
+        owed = [place[0] for place in self.order if place[0] is not None and place[0].open]
+        self.do(self.theirs.close)
+        self.left = True
+        if not self.malformed:  # reading has stopped there: its end is found when the last answer is written
+            self.ended = True
+            assert self.decisions.left == owed
+
+    @invariant()
+    def holds(self) -> None:
+        if not self.left and hasattr(self, "service"):
+            assert self.received == self.expected
+            assert (self.connection in self.service.connections) == (not self.ended)
+
+    def teardown(self) -> None:
+        if hasattr(self, "connection"):
+            self.do(lambda: self.connection._end("test over"))
+            self.theirs.close()
+        self.loop.close()
+
+
+TestClientModel = ClientModel.TestCase
+TestClientModel.settings = settings(max_examples=60, stateful_step_count=25)
--- /dev/null
+++ b/tests/test_driver.py
@@ -0,0 +1,173 @@
+"""The driver: one final answer whatever breaks, events in order, and the clock that starts are told on."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from mapleshunt import (
+    ClientGone,
+    Event,
+    Fail,
+    Outcome,
+    Refuse,
+    Request,
+    Send,
+    SetTimer,
+    Settings,
+    Tell,
+    Timer,
+)
+from mapleshunt.net.context import RequestContext
+from mapleshunt.net.counters import Counters
+from mapleshunt.net.driver import GUARD, Driver
+from mapleshunt.net.stages import relay
+from mapleshunt.net.stages.admit import admit
+from mapleshunt.net.svc import SvcMessage
+from mapleshunt.net.upstream import UpstreamGroup
+
+from .conftest import CLASSES, PLANS
+
+
+class Told:
+    """A client's side that keeps what it was answered."""
+
+    def __init__(self) -> None:
+        self.answers: list[str] = []
+
+    def serve(self, value: memoryview) -> None:
+        self.answers.append(str(value, "ascii"))
+
+    def reject(self, wait: float) -> None:
+        self.answers.append(f"rejected {wait:.0f}")
+
+    def fail(self) -> None:
+        self.answers.append("failed")
+
+
+class Scripted:
+    """Decisions that do what a test says, and keep what they were told."""
+
+    def __init__(self, does: Callable[[Event], list[Any]]) -> None:
+        self.does, self.told = does, list[Event]()
+
+    def handle(self, now: float, event: Event) -> list[Any]:
+        self.told.append(event)
+        return self.does(event)
+
+
+def play(does: Callable[[Event], list[Any]], steps: Callable[[Driver, Scripted], Awaitable[None]]) -> Driver:
+    async def run() -> Driver:
+        counters = Counters()
+        group = UpstreamGroup(counters, 250, 1000, 10)
+        driver = Driver(Settings(me=0, instances=1, classes=CLASSES, plans=PLANS), 1, group, counters)
+        scripted = Scripted(does)
+        driver.gateway = scripted  # type: ignore[assignment]
+        await steps(driver, scripted)
+        return driver
+
+    return asyncio.run(run())
+
+
+def ask(driver: Driver, ref: int = 1, patience: float = 5000, most: int = 10) -> tuple[RequestContext, Told]:
+    told = Told()
+    request = Request(ref, "look", "wide", "c", patience)
+    context = RequestContext(ref, request, SvcMessage([], {}), told, driver.now())
+    admit(context, driver, most)
+    return context, told
+
+
+async def answered(told: Told) -> None:
+    while not told.answers:
+        await asyncio.sleep(0.001)
+
+
+def test_request_the_decisions_forget_is_answered_before_its_client_gives_up() -> None:
+    async def steps(driver: Driver, decisions: Scripted) -> None:
+        context, told = ask(driver, patience=GUARD + 10)
+        await answered(told)
+        assert told.answers == ["failed"] and decisions.told[-1] == ClientGone(context.ref)
+        assert driver.counters.counts["guard_answers"] == 1 and not driver.open
+
+    play(lambda event: [], steps)
+
+
+def test_exception_in_the_decisions_fails_its_request_and_no_other() -> None:
+    def does(event: Event) -> list[Any]:
+        if isinstance(event, Request) and event.ref == 1:
+            raise RuntimeError("odd")
+        return [Refuse(event.ref, 20.0)] if isinstance(event, Request) else []
+
+    async def steps(driver: Driver, decisions: Scripted) -> None:
+        assert [ask(driver, ref)[1].answers for ref in (1, 2)] == [["failed"], ["rejected 20"]]
+
+    assert play(does, steps).counters.counts["exceptions"] == 1
+
+
+def test_exception_in_an_action_does_not_stop_those_behind_it() -> None:
+    async def steps(driver: Driver, decisions: Scripted) -> None:
+        driver.tell = lambda peer, text: 1 / 0  # type: ignore[assignment]
+        assert ask(driver)[1].answers == ["failed"]
+
+    play(lambda event: [Tell(0, "x"), Fail(1)] if isinstance(event, Request) else [], steps)
+
+
+def test_there_is_one_final_answer_only() -> None:
+    async def steps(driver: Driver, decisions: Scripted) -> None:
+        context, told = ask(driver)
+        relay.serve(context, memoryview(b"late"), driver.counters)
+        driver.gone(context)
+        assert told.answers == ["rejected 5"] and len(decisions.told) == 1
+
+    play(lambda event: [Refuse(1, 5.0), Fail(1)], steps)
+
+
+def test_more_than_may_be_held_is_rejected_without_a_decision() -> None:
+    async def steps(driver: Driver, decisions: Scripted) -> None:
+        assert [ask(driver, ref, most=1)[1].answers for ref in (1, 2)] == [[], ["rejected 1000"]]
+        assert len(decisions.told) == 1
+
+    play(lambda event: [], steps)
+
+
+def test_each_send_ends_in_one_outcome_and_events_keep_their_order() -> None:
+    def does(event: Event) -> list[Any]:
+        if isinstance(event, Request):
+            return [Send(event.ref, server=77)]  # a server nobody named
+        first = isinstance(event, Outcome) and event.attempt == 0
+        return [Send(1, server=78), Fail(1)] if first else []
+
+    async def steps(driver: Driver, decisions: Scripted) -> None:
+        _, told = ask(driver)
+        while driver.out or not told.answers:
+            await asyncio.sleep(0)
+        ends = [(e.status, e.attempt, e.server, e.closed) for e in decisions.told if isinstance(e, Outcome)]
+        assert ends == [("unsent", 0, 77, False), ("unsent", 1, 78, True)] and told.answers == ["failed"]
+
+    play(does, steps)
+
+
+def test_timer_fires_no_earlier_than_it_was_set_for() -> None:
+    async def steps(driver: Driver, decisions: Scripted) -> None:
+        context, _ = ask(driver)
+        while not isinstance(decisions.told[-1], Timer):
+            await asyncio.sleep(0.001)
+        assert driver.now() >= context.taken + 5 - 0.01 and decisions.told[-1] == Timer(3)
+        driver.gone(context)
+
+    play(lambda event: [SetTimer(event_time() + 5, 3)] if isinstance(event, Request) else [], steps)
+
+
+def event_time() -> float:
+    return time.time() * 1000
+
+
+def test_clock_is_unix_time_because_starts_of_servers_are() -> None:
+    async def steps(driver: Driver, decisions: Scripted) -> None:
+        assert driver.now() == pytest.approx(time.time() * 1000, abs=10_000)
+
+    play(lambda event: [], steps)
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,80 @@
+"""The HTTP parser, and what is made of discovery's lists."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mapleshunt.net import http
+from mapleshunt.net.counters import Counters
+from mapleshunt.net.discovery import member_list
+from mapleshunt.net.upstream import UpstreamGroup
+
+PLAIN = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nX: y\r\n\r\nbody"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2;x\r\ndy\r\n0\r\n\r\n"
+LAST = b"HTTP/1.1 503 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "body", "keep"),
+    [(PLAIN, 200, b"body", True), (CHUNKED, 200, b"body", True), (LAST, 503, b"", False)],
+)
+def test_response_is_read_once_whole(data: bytes, status: int, body: bytes, keep: bool) -> None:
+    room = bytearray(data + b"HTTP")
+    found = http.parse_response(room, 0, len(room))
+    assert found is not None and found[1] == len(data)
+    assert (found[0].status, bytes(found[0].body), found[0].keep) == (status, body, keep)
+    assert all(http.parse_response(room, 0, end) is None for end in range(len(data)))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"NONSENSE\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: +4\r\n\r\nbody",
+        b"HTTP/1.1 200 OK\r\n name: x\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+        b"x" * http.MAX_HEAD,
+    ],
+)
+def test_bytes_that_are_no_response_are_told(data: bytes) -> None:
+    with pytest.raises(http.ProtocolError):
+        http.parse_response(bytearray(data), 0, len(data))
+
+
+@given(st.binary(max_size=60))
+def test_no_bytes_break_the_parser(tail: bytes) -> None:
+    data = bytearray(b"HTTP/1.1 200 OK\r\n" + tail + b"\r\n\r\n")
+    try:
+        found = http.parse_response(data, 0, len(data))
+    except http.ProtocolError:
+        return
+    assert found is None or found[1] <= len(data)
+
+
+def row(name: str, **changes: object) -> dict[str, object]:
+    return {"id": name, "host_port": "127.0.0.1:1", "locality": "a", "cell": 3, "phase": "Ready",
+            "up_since_ms": 0, **changes}
+
+
+def test_list_becomes_the_members_event_with_numbers_from_ids() -> None:
+    found = member_list({"revision": 4, "complete": False, "members": [
+        row("s-1"), row("s-2", phase="Terminating", up_since_ms=1764000000000)]})
+    event = UpstreamGroup(Counters(), 250, 1000, 10).update("partial", found.members)
+    assert [(e.cell, e.zone, e.state, e.started) for e in event.entries] == [
+        (3, "a", "ready", 0.0), (3, "a", "draining", 1764000000000.0)]
+    again = UpstreamGroup(Counters(), 250, 1000, 10).update("complete", found.members[::-1])
+    # Peers tell each other of servers by number, so it must not rest on order or on the process.
+    assert [e.server for e in again.entries] == [e.server for e in event.entries][::-1]
+    assert event.entries[0].server == 3624031694
+
+
+@pytest.mark.parametrize("bad", [{"members": []}, {"revision": 1, "complete": True, "members": [{}]},
+                                 {"revision": 1, "complete": True, "members": [row("s", phase="Odd")]},
+                                 {"revision": 1, "complete": True, "members": [row("s", host_port="x")]}])
+def test_malformed_list_is_a_value_error(bad: dict[str, object]) -> None:
+    with pytest.raises(ValueError, match="malformed"):
+        member_list(bad)
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,116 @@
+"""The whole program as a process, with the example's configuration and toy server; and when it refuses."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from mapleshunt.net import config, resp
+
+ROOT = Path(__file__).parent.parent
+EXAMPLE = ROOT / "examples" / "config.json"
+
+
+def run(*args: str, **env: str) -> subprocess.Popen[str]:
+    return subprocess.Popen(
+        [sys.executable, *args], cwd=ROOT, env={**os.environ, **env}, text=True,
+        stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+    )
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        port: int = probe.getsockname()[1]
+        return port
+
+
+@pytest.fixture
+def gateway() -> Iterator[tuple[subprocess.Popen[str], socket.socket]]:
+    toy = run("-m", "examples.toy_server", "0")
+    assert toy.stdout is not None
+    discovery = toy.stdout.readline().split()[-1]
+    port = free_port()
+    process = run("-m", "mapleshunt", PROXY_CONFIG=str(EXAMPLE), PROXY_DISCOVERY=discovery,
+                  PROXY_LISTEN=f"127.0.0.1:{port}")
+    assert process.stderr is not None
+    while "event=members" not in process.stderr.readline():
+        assert process.poll() is None
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as client:
+        yield process, client
+    for one in (process, toy):
+        one.kill()
+        one.communicate()
+
+
+def replies(client: socket.socket, count: int) -> list[resp.Reply]:
+    data, got = bytearray(), list[resp.Reply]()
+    while len(got) < count:
+        data += client.recv(65536)
+        at = 0
+        while found := resp.parse_reply(data, at, len(data)):
+            got.append(found[0])
+            at = found[1]
+        data = data[at:]
+    return got
+
+
+def query(number: int, pairs: bytes = b"c=lookup,t=small,d=5000,units=1,spread=1,first=0") -> bytes:
+    return resp.command([b"SVC.QUERY", b"00000000b4d65521", b"%016x" % number, pairs])
+
+
+def test_serves_rejects_and_leaves_in_good_order(
+    gateway: tuple[subprocess.Popen[str], socket.socket],
+) -> None:
+    process, client = gateway
+    client.sendall(resp.command([b"PING"]) + b"".join(query(n) for n in range(9)) + query(9, b"c=odd,d=1"))
+    pong, *rest, odd = replies(client, 11)
+    assert pong == resp.SimpleLine("PONG") and odd == resp.ErrorLine("ERR unknown class")
+    served = [bytes(one) for one in rest if isinstance(one, memoryview)]
+    # The plan's store holds 5 units and fills by one a second; each answer has its own request's id.
+    assert len(served) >= 5 and all(b"did %016x" % n in one for n, one in enumerate(served))
+    assert all(isinstance(one, resp.ErrorLine) and one.text.startswith("BUSY ") for one in rest[len(served):])
+    process.send_signal(signal.SIGUSR1)
+    process.send_signal(signal.SIGTERM)
+    _, log = process.communicate(timeout=30)
+    assert process.returncode == 0 and client.recv(1) == b""
+    lines = [line for line in log.splitlines() if "event=counters" in line]
+    assert len(lines) == 2 and f"answers_served={len(served)} " in lines[-1]
+    assert "event=client_connection_ended reason=drained commands=11 owed=0" in log
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("{", "the configuration is not JSON"),
+        ("[]", "the configuration must be a JSON object"),
+        ("{}", "the configuration lacks 'settings'"),
+        ({"listen": "x"}, "listen must be HOST:PORT, not 'x'"),
+        ({"seed": "xyz"}, "seed must be hex digits, not 'xyz'"),
+        ({"settings": {"RequestClasses": 1}}, "the configuration lacks"),
+        ({"known": {"members": 1}}, "a list of members is malformed"),
+    ],
+)
+def test_bad_configuration_is_one_plain_message_and_exit_2(text: Any, said: str, tmp_path: Path) -> None:
+    file = tmp_path / "config.json"
+    if isinstance(text, dict):
+        text = json.dumps({**json.loads(EXAMPLE.read_text()), **text})
+    file.write_text(text)
+    process = run("-m", "mapleshunt", PROXY_CONFIG=str(file))
+    _, message = process.communicate(timeout=60)
+    assert process.returncode == 2 and message.startswith(f"mapleshunt: {said}") and message.count("\n") == 1
+
+
+def test_no_configuration_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
+    with pytest.raises(config.ConfigError, match="PROXY_CONFIG"):
+        config.load({})
+    with pytest.raises(config.ConfigError, match="cannot be read"):
+        config.load({"PROXY_CONFIG": "no such file"})
--- /dev/null
+++ b/tests/test_resp.py
@@ -0,0 +1,127 @@
+"""The RESP parser: whole messages, any split of them, and bytes that are none."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from tornado.iostream import IOStream
+
+from mapleshunt.net import resp
+from mapleshunt.net.buffer import CHUNK, ReadBuffer, TooLong
+
+settings.register_profile("steady", derandomize=True, deadline=None, database=None)
+settings.load_profile("steady")
+
+WORDS = st.lists(st.binary(max_size=40), min_size=1, max_size=resp.MAX_ITEMS)
+
+
+@given(WORDS, st.binary(max_size=20), st.integers(0, 7))
+def test_command_is_read_once_whole_and_not_before(words: list[bytes], after: bytes, before: int) -> None:
+    data = resp.command(words)
+    room = bytearray(b"x" * before + data + after)
+    found = resp.parse_command(room, before, len(room))
+    assert found is not None and found[1] == before + len(data)
+    assert [bytes(word) for word in found[0]] == words
+    for end in range(before, before + len(data)):
+        assert resp.parse_command(room, before, end) is None
+
+
+REPLIES: list[tuple[bytes, resp.Reply]] = [
+    (b"+OK\r\n", resp.SimpleLine("OK")),
+    (b"-ERR failed\r\n", resp.ErrorLine("ERR failed")),
+    (b":-12\r\n", -12),
+    (b"$-1\r\n", None),
+    (b"*-1\r\n", None),
+    (b"$3\r\nabc\r\n", memoryview(b"abc")),
+    (b"*3\r\n$1\r\nv\r\n$-1\r\n*1\r\n:1\r\n", [memoryview(b"v"), None, [1]]),
+]
+
+
+@pytest.mark.parametrize(("data", "reply"), REPLIES)
+def test_reply_is_read_once_whole_and_not_before(data: bytes, reply: resp.Reply) -> None:
+    room = bytearray(data)
+    assert resp.parse_reply(room, 0, len(room)) == (reply, len(room))
+    assert all(resp.parse_reply(room, 0, end) is None for end in range(len(room)))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"PING\r\n",
+        b"*0\r\n",
+        b"*99\r\n",
+        b"*1\r\n+x\r\n",
+        b"*1\r\n$-1\r\n",
+        b"*1\r\n$1_0\r\n",
+        b"*1\r\n$65537\r\n",
+        b"*1\r\n$1\r\nabc",
+        b"*" + b"1" * resp.MAX_LINE,
+    ],
+)
+def test_bytes_that_are_no_command_are_told_at_once(data: bytes) -> None:
+    with pytest.raises(resp.ProtocolError):
+        resp.parse_command(bytearray(data), 0, len(data))
+
+
+@given(st.binary(max_size=60))
+def test_no_bytes_break_the_parsers(data: bytes) -> None:
+    for parse in (resp.parse_command, resp.parse_reply):
+        try:
+            found = parse(bytearray(data), 0, len(data))
+        except resp.ProtocolError:
+            continue
+        assert found is None or 0 < found[1] <= len(data)
+
+
+def test_error_line_stays_one_line() -> None:
+    assert resp.error("ERR a\r\nb") == b"-ERR a  b\r\n"
+
+
+# The buffer
+
+
+def test_fill_counts_from_the_buffer_that_replaced_the_full_one() -> None:
+    # `self.end += await read(self.room())` took the old buffer's end: zero bytes were read as a command.
+    async def play() -> list[bytes]:
+        ours, theirs = socket.socketpair()
+        stream, buffer, got = IOStream(ours), ReadBuffer(resp.MAX_MESSAGE), []
+        words = [[b"PING", b"%d" % n * 40] for n in range(100)]
+        for sent in words:
+            theirs.send(resp.command(sent))
+            await buffer.fill(stream)
+            found = resp.parse_command(buffer.data, buffer.start, buffer.end)
+            assert found is not None
+            buffer.consume(found[1])
+            got.append(bytes(found[0][1]))
+        stream.close()
+        theirs.close()
+        return got
+
+    assert asyncio.run(play()) == [b"%d" % n * 40 for n in range(100)]
+
+
+@given(st.lists(st.integers(1, CHUNK), min_size=1, max_size=12))
+def test_slices_outlive_the_buffer_they_were_read_into(sizes: list[int]) -> None:
+    buffer, held = ReadBuffer(3 * CHUNK), []
+    for number, size in enumerate(sizes):
+        data = bytes([number]) * size
+        while data:
+            room = buffer.room()
+            count = min(len(room), len(data))
+            room[:count] = data[:count]
+            buffer.end += count
+            data = data[count:]
+        held.append(memoryview(buffer.data)[buffer.start : buffer.end])
+        buffer.consume(buffer.end)
+    assert [bytes(one) for one in held] == [bytes([n]) * size for n, size in enumerate(sizes)]
+
+
+def test_buffer_is_bounded() -> None:
+    buffer = ReadBuffer(2 * CHUNK)
+    with pytest.raises(TooLong):
+        while True:
+            buffer.end += len(buffer.room())
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,200 @@
+"""How a try's end is classified: rule 2 rests on it. Each till server here plays one fate on a socket."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable
+
+import pytest
+from tornado.iostream import IOStream
+
+from mapleshunt import Request
+from mapleshunt.interface import Status
+from mapleshunt.net import resp
+from mapleshunt.net.context import Answer, Ending, RequestContext, Try
+from mapleshunt.net.counters import Counters
+from mapleshunt.net.stages.send import send
+from mapleshunt.net.svc import SvcMessage
+from mapleshunt.net.upstream import Member, UpstreamGroup
+
+GOOD = b"*3\r\n$5\r\nvalue\r\n$14\r\nused=37,cost=4\r\n$-1\r\n"
+Steps = Callable[[UpstreamGroup, int, socket.socket], Awaitable[list[Ending]]]
+WORDS = [memoryview(b"SVC.QUERY"), memoryview(b"c" * 16), memoryview(b"i" * 16), memoryview(b"c=look")]
+
+
+class Silent:
+    def serve(self, value: memoryview) -> None: ...
+    def reject(self, wait: float) -> None: ...
+    def fail(self) -> None: ...
+
+
+def play(steps: Steps) -> list[Ending]:
+    """Run steps against a group of one till server, whose listening socket the steps are given."""
+
+    async def run() -> list[Ending]:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            listener.settimeout(10)
+            group = UpstreamGroup(Counters(), 5000, 10000, 2)
+            member = Member("s-1", listener.getsockname(), "", 0, "ready", 0.0)
+            group.update("complete", [member])
+            try:
+                return await steps(group, member.number, listener)
+            finally:
+                group.close()
+
+    return asyncio.run(run())
+
+
+def attempt_at(group: UpstreamGroup, number: int) -> tuple[Try, asyncio.Task[Ending]]:
+    answer: Answer = Silent()
+    message = SvcMessage(WORDS, {"c": "look", "d": "480", "r": "1"})
+    context = RequestContext(1, Request(1, "look", "wide", "c", 480), message, answer, 0.0)
+    attempt = Try(0, number, 0.0, 480.0)
+    return attempt, asyncio.create_task(send(context, attempt, group, 300.7))
+
+
+async def taken(server: socket.socket) -> bytes:
+    server.settimeout(10)
+    data = b""
+    while not resp.parse_command(bytearray(data), 0, len(data)):
+        if not (more := await asyncio.to_thread(server.recv, 65536)):
+            raise ConnectionResetError
+        data += more
+    return data
+
+
+async def accept(listener: socket.socket) -> socket.socket:
+    return (await asyncio.to_thread(listener.accept))[0]
+
+
+@pytest.mark.parametrize(
+    ("data", "ending"),
+    [
+        (GOOD, Ending("ok", memoryview(b"value"), 4.0)),
+        (b"*3\r\n$1\r\nv\r\n$-1\r\n$5\r\nqps=1\r\n", Ending("ok", memoryview(b"v"))),
+        (b"-ERR failed\r\n", Ending("error")),
+        (b"-BUSY\r\n", Ending("full")),
+        (b"-ERR failed used=1,cost=2 inflight=7\r\n", Ending("error")),
+        (b"", Ending("reset")),
+        (b"*3\r\n$1\r\n", Ending("reset")),
+        (b"nonsense\r\n", Ending("reset")),
+        (b"*1\r\n$70000\r\n", Ending("reset")),
+        (b":1\r\n", Ending("reset")),
+    ],
+)
+def test_reply_or_end_after_the_last_byte(data: bytes, ending: Ending) -> None:
+    async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
+        _, task = attempt_at(group, number)
+        with await accept(listener) as server:
+            assert b"c=look,d=300,r=1" in await taken(server)  # all as it came, but for the wait
+            server.send(data)
+            server.shutdown(socket.SHUT_WR)
+            return [await task]
+
+    assert play(steps) == [ending]
+
+
+def test_refused_connection_proves_that_it_never_ran() -> None:
+    async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
+        listener.close()
+        return [await attempt_at(group, number)[1]]
+
+    assert play(steps) == [Ending("unreachable")]
+
+
+def test_connection_that_never_comes_up_is_bounded_and_never_ran() -> None:
+    async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
+        group.dial_timeout = 0.0
+        return [await attempt_at(group, number)[1]]
+
+    assert play(steps) == [Ending("unreachable")]
+
+
+def test_unknown_server_and_spent_descriptors_leave_it_unsent() -> None:
+    async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
+        group.most = 0
+        return [await attempt_at(group, number + 1)[1], await attempt_at(group, number)[1]]
+
+    assert play(steps) == [Ending("unsent"), Ending("unsent")]
+
+
+def test_given_up_before_it_is_written_it_never_ran_after_that_it_may_have() -> None:
+    async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
+        early, task = attempt_at(group, number)
+        await asyncio.sleep(0)  # it dials
+        early.give_up("cancelled")
+        endings = [await task]
+        statuses: tuple[Status, ...] = ("cancelled", "timeout")
+        for status in statuses:
+            late, task = attempt_at(group, number)
+            server = await accept(listener)
+            with contextlib.suppress(ConnectionResetError):
+                await taken(server)  # unless it is the first one, which may have come up for a moment
+                late.give_up(status)
+            if not late.given_up:
+                server = await accept(listener)
+                await taken(server)
+                late.give_up(status)
+            endings.append(await task)
+            assert await asyncio.to_thread(server.recv, 1) == b""  # the connection ends with it
+            server.close()
+        return endings
+
+    assert play(steps) == [Ending("unsent"), Ending("cancelled"), Ending("timeout")]
+
+
+def test_connection_is_used_again_unless_its_end_has_come() -> None:
+    async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
+        _, task = attempt_at(group, number)
+        server = await accept(listener)
+        await taken(server)
+        server.send(GOOD)
+        endings = [await task]
+        _, task = attempt_at(group, number)
+        await taken(server)  # on the same connection
+        server.send(GOOD)
+        endings.append(await task)
+        server.close()  # unread on our side: a try written now would end as one that may have run
+        _, task = attempt_at(group, number)
+        with await accept(listener) as server:
+            await taken(server)
+            server.send(GOOD)
+            endings.append(await task)
+        return endings
+
+    assert [one.status for one in play(steps)] == ["ok", "ok", "ok"]
+
+
+def test_reply_to_nothing_ends_the_connection() -> None:
+    async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
+        connection = group.connection(number)
+        with await accept_while(connection.connect(), listener) as server:
+            group.release(connection)
+            server.send(GOOD)
+            while not connection.stream.closed():
+                await asyncio.sleep(0)
+        assert connection.reason == "malformed_reply" and group.idle(number) is None
+        return []
+
+    assert play(steps) == []
+
+
+async def accept_while(step: Awaitable[None], listener: socket.socket) -> socket.socket:
+    _, server = await asyncio.gather(step, accept(listener))
+    return server
+
+
+def test_idle_connections_are_closed_in_time_and_when_the_server_goes() -> None:
+    async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
+        for close in (group.sweep, lambda: group.update("complete", [])):
+            connection = group.connection(number)
+            with await accept_while(connection.connect(), listener):
+                group.release(connection)
+                group.idle_limit = -1000.0  # ms ago
+                close()
+                assert isinstance(connection.stream, IOStream) and connection.stream.closed()
+        return []
+
+    assert play(steps) == []
