--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 
+import uvloop
 from tornado.ioloop import PeriodicCallback
 from tornado.iostream import IOStream
 from tornado.netutil import add_accept_handler, bind_sockets
@@ -111,7 +112,7 @@
     log.set_up()
     try:
         config = load()
-        asyncio.run(_main(config))
+        uvloop.run(_main(config))
     except (ConfigError, ValueError, OSError) as error:
         print(f"mapleshunt: {error}", file=sys.stderr)
         return 2
