--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -7,6 +7,7 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable
 
 import uvloop
 from tornado.ioloop import PeriodicCallback
@@ -23,6 +24,7 @@
 from .net.upstream import UpstreamGroup
 
 STAY = 0.5  # s after SIGTERM for which new connections are still taken
+BACKLOG = 512  # connections that wait in the kernel to be accepted
 RESERVE = 32  # descriptors kept for the log, the loop, the listener, discovery and peers
 SERVERS_PART = 0.4  # part of the other descriptors that connections to till servers may take
 
@@ -42,6 +44,10 @@
         self.discovery = Discovery(config.discovery, self.told, self.counters)
         self.peers: Peers | None = None
         self.stopped = asyncio.Event()
+        self.leaving = False
+        self.listeners: list[socket.socket] = []
+        self.removers: list[Callable[[], None]] = []  # of the handlers that accept
+        self.service.ended = self.resume_accepting
 
     def ready(self) -> bool:
         return bool(self.group.servers)
@@ -58,14 +64,29 @@
             server_connections_now=len(self.group.connections),
         )
 
+    # Client connections: at the limit an idle one makes room, and with none idle new ones wait in the
+    # kernel. One that was accepted and closed might have carried a request, which would be lost.
+
     def accept(self, connection: socket.socket, _address: object) -> None:
+        self.service.serve(IOStream(connection, max_write_buffer_size=client.MOST_UNWRITTEN))
+        if len(self.service.connections) >= self.most_clients:
+            self.service.make_room()
         if len(self.service.connections) >= self.most_clients:
-            self.counters.add("client_connections_over_limit")
-            log.say("client_connection_ended", reason="too_many", commands=0, owed=0)
-            connection.close()
-            return
-        stream = IOStream(connection, max_write_buffer_size=client.MOST_UNWRITTEN)
-        self.service.serve(stream)
+            log.say("accepting_paused", client_connections=len(self.service.connections))
+            self.stop_accepting()
+
+    def resume_accepting(self) -> None:
+        if not self.removers and not self.leaving and len(self.service.connections) < self.most_clients:
+            log.say("accepting_resumed", client_connections=len(self.service.connections))
+            self.start_accepting()
+
+    def start_accepting(self) -> None:
+        self.removers = [add_accept_handler(one, self.accept) for one in self.listeners]
+
+    def stop_accepting(self) -> None:
+        for remove in self.removers:
+            remove()
+        self.removers = []
 
     async def run(self) -> None:
         config, loop = self.config, asyncio.get_running_loop()
@@ -75,7 +96,8 @@
             self.peers = Peers(config.peer_listen, config.peers, config.peers_all, self.heard, self.counters)
             self.driver.tell = self.peers.tell
         host, port = config.listen
-        remove = [add_accept_handler(one, self.accept) for one in bind_sockets(port, host, backlog=512)]
+        self.listeners = bind_sockets(port, host, backlog=BACKLOG)
+        self.start_accepting()
         loop.add_signal_handler(signal.SIGTERM, self.stopped.set)
         loop.add_signal_handler(signal.SIGINT, self.stopped.set)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
@@ -84,13 +106,7 @@
         watch = loop.create_task(self.discovery.run())
         log.say("started", name=config.name, listen=f"{host}:{port}", servers=len(self.group.servers))
         await self.stopped.wait()
-        log.say("stopping", open=len(self.driver.open))
-        await asyncio.sleep(STAY)
-        for take_off in remove:
-            take_off()
-        self.service.drain()
-        while self.service.connections or self.driver.open:
-            await asyncio.sleep(0.01)
+        await self.leave()
         watch.cancel()
         with contextlib.suppress(asyncio.CancelledError):
             await watch
@@ -100,6 +116,26 @@
             self.peers.close()
         self.print_counters()
 
+    async def leave(self) -> None:
+        """Go on for a little, since the front learns late; then finish what was taken."""
+        log.say("stopping", open=len(self.driver.open))
+        await asyncio.sleep(STAY)
+        self.leaving = True
+        self.stop_accepting()
+        for listener in self.listeners:
+            listener.close()
+        self.service.drain()
+        longest = max((cls.deadline for cls in self.config.settings.classes.values()), default=0.0)
+        try:
+            async with asyncio.timeout(longest / 1000 + STAY):
+                while self.service.connections or self.driver.open:
+                    await asyncio.sleep(0.01)
+        except TimeoutError:  # a client that does not read must not hold up the restart
+            left = len(self.service.connections)
+            log.say("stopped_late", open=len(self.driver.open), client_connections=left)
+            for connection in list(self.service.connections):
+                connection.end("stopped")
+
     def heard(self, peer: int, text: str) -> None:
         self.driver.feed(i.PeerMessage(peer, text))
 
--- a/mapleshunt/net/client.py
+++ b/mapleshunt/net/client.py
@@ -18,7 +18,7 @@
 from .stages.admit import admit
 from .stages.take_in import Unacceptable, take_in
 
-MOST_PENDING = 64  # commands of a connection that wait for their answer before reading pauses
+MOST_PENDING = 32  # commands of a connection that wait for their answer before reading pauses
 MOST_UNWRITTEN = MOST_PENDING * (resp.MAX_VALUE + 64)  # bytes
 
 
@@ -33,6 +33,7 @@
         self.connections: set[ClientConnection] = set()
         self.ready: Callable[[], bool] = lambda: True
         self.draining = False
+        self.ended: Callable[[], None] = lambda: None  # told of each connection that ends
 
     def serve(self, stream: IOStream) -> None:
         connection = ClientConnection(stream, self)
@@ -40,6 +41,13 @@
         self.counters.add("client_connections")
         connection.task = asyncio.get_running_loop().create_task(connection.run())
 
+    def make_room(self) -> None:
+        """End a connection on which nothing is owed, so that a new client finds a descriptor."""
+        for connection in self.connections:
+            if not connection.busy():
+                connection.end("made_room")
+                return
+
     def drain(self) -> None:
         """From now on a connection is closed as soon as nothing is owed on it."""
         self.draining = True
@@ -90,7 +98,7 @@
                 await self._take_whole()
                 await self.buffer.fill(self.stream)
         except StreamClosedError as closed:
-            self._end("client_reset" if closed.real_error else "client_closed")
+            self.end("client_reset" if closed.real_error else "client_closed")
         except (resp.ProtocolError, TooLong) as error:
             self.service.counters.add("malformed_commands")
             self.last, self.reason = True, "malformed_command"
@@ -98,7 +106,7 @@
         except Exception:
             self.service.counters.add("exceptions")
             log.trouble("client_connection_exception")
-            self._end("exception")
+            self.end("exception")
 
     async def _take_whole(self) -> None:
         """Take every whole command that has been read, no faster than answers go out."""
@@ -142,24 +150,27 @@
             try:
                 self.written = self.stream.write(b"".join(ready))
             except StreamBufferFullError:
-                self._end("slow_client")
+                self.end("slow_client")
             except StreamClosedError:
-                self._end("client_reset")
+                self.end("client_reset")
         if self.room is not None and not self.room.done() and len(self.slots) < MOST_PENDING:
             self.room.set_result(None)
         if self.last or self.service.draining:
             self.close_if_done()
 
+    def busy(self) -> bool:
+        """Is an answer owed or not yet written, or has part of a command come?"""
+        part = self.buffer.start != self.buffer.end and not self.last
+        return bool(self.slots) or part or (self.written is not None and not self.written.done())
+
     def close_if_done(self) -> None:
         """Close a connection that is to end, once nothing is owed on it and all is written."""
-        if self.slots or (self.buffer.start != self.buffer.end and not self.last):
-            return
-        if self.written is not None and not self.written.done():
+        if not self.busy():
+            self.end(self.reason or "drained")
+        elif not self.slots and self.written is not None and not self.written.done():
             self.written.add_done_callback(lambda _: self.close_if_done())
-        else:
-            self._end(self.reason or "drained")
 
-    def _end(self, reason: str) -> None:
+    def end(self, reason: str) -> None:
         if self not in self.service.connections:
             return
         self.service.connections.discard(self)
@@ -172,3 +183,4 @@
         self.slots.clear()
         if self.room is not None and not self.room.done():
             self.room.set_result(None)
+        self.service.ended()
--- a/mapleshunt/net/discovery.py
+++ b/mapleshunt/net/discovery.py
@@ -58,15 +58,18 @@
     def __init__(self, agent: Address, told: Callable[[MemberList], None], counters: Counters) -> None:
         self.agent, self.told, self.counters = agent, told, counters
         self.revision: int | None = None
+        self.list_limit, self.watch_limit = LIST_LIMIT / 1000, (WAIT + SILENCE) / 1000  # s
 
     async def run(self) -> None:
         """Until it is cancelled."""
         while True:
-            reason = "agent_closed"
+            stream = IOStream(socket.socket(family_of(self.agent)), max_buffer_size=2 * http.MAX_MESSAGE)
             try:
-                await self._session()
-            except (StreamClosedError, OSError) as error:
-                reason = "agent_silent" if not getattr(error, "real_error", error) else "agent_unreachable"
+                reason = await self._session(stream)
+            except TimeoutError:
+                reason = "agent_silent"
+            except StreamClosedError as closed:
+                reason = "agent_unreachable" if closed.real_error else "agent_closed"
             except (http.ProtocolError, TooLong, ValueError) as error:
                 reason = "malformed_list"
                 log.say("malformed_list", why=error)
@@ -74,43 +77,32 @@
                 reason = "exception"
                 self.counters.add("exceptions")
                 log.trouble("discovery_exception")
+            finally:
+                stream.close()
             self.counters.add("discovery_ended")
             log.say("discovery_ended", reason=reason, revision=self.revision)
             await asyncio.sleep(PAUSE / 1000)
 
-    async def _session(self) -> None:
-        stream = IOStream(socket.socket(family_of(self.agent)), max_buffer_size=2 * http.MAX_MESSAGE)
-        try:
-            await self._limited(stream, SILENCE, stream.connect(self.agent))
-            buffer = ReadBuffer(http.MAX_MESSAGE)
-            while True:
-                path, limit = PATH, LIST_LIMIT
-                if self.revision is not None:
-                    path, limit = f"{PATH}?index={self.revision}&wait={WAIT}", WAIT + SILENCE
+    async def _session(self, stream: IOStream) -> str:
+        """Call after call on one connection; the reason for its end."""
+        async with asyncio.timeout(self.list_limit):
+            await stream.connect(self.agent)
+        buffer = ReadBuffer(http.MAX_MESSAGE)
+        while True:
+            path, limit = PATH, self.list_limit
+            if self.revision is not None:
+                path, limit = f"{PATH}?index={self.revision}&wait={WAIT}", self.watch_limit
+            async with asyncio.timeout(limit):
                 await stream.write(http.get(path, f"{self.agent[0]}:{self.agent[1]}"))
-                response = await self._limited(stream, limit, self._response(stream, buffer))
-                if response.status != 200:
-                    self.revision = None  # it may not know this revision: begin with the whole list
-                    raise ValueError(f"status {response.status}")
-                found = member_list(json.loads(bytes(response.body)))
-                self.told(found)
-                self.revision = found.revision
-                if not response.keep:
-                    return
-        finally:
-            stream.close()
-
-    async def _response(self, stream: IOStream, buffer: ReadBuffer) -> http.Response:
-        while not (found := http.parse_response(buffer.data, buffer.start, buffer.end)):
-            await buffer.fill(stream)
-        buffer.consume(found[1])
-        return found[0]
-
-    @staticmethod
-    async def _limited(stream: IOStream, limit: int, step: Any) -> Any:
-        """Await a step; past its limit the connection is closed, which ends the step."""
-        timer = asyncio.get_running_loop().call_later(limit / 1000, stream.close)
-        try:
-            return await step
-        finally:
-            timer.cancel()
+                while not (found := http.parse_response(buffer.data, buffer.start, buffer.end)):
+                    await buffer.fill(stream)
+            response = found[0]
+            buffer.consume(found[1])
+            if response.status != 200:
+                self.revision = None  # it may not know this revision: begin with the whole list
+                return f"status_{response.status}"
+            members = member_list(json.loads(bytes(response.body)))
+            self.told(members)
+            self.revision = members.revision
+            if not response.keep:
+                return "agent_closed"
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -196,7 +196,7 @@
 
     def teardown(self) -> None:
         if hasattr(self, "connection"):
-            self.do(lambda: self.connection._end("test over"))
+            self.do(lambda: self.connection.end("test over"))
             self.theirs.close()
         self.loop.close()
 
