Contain a defect to its command; at the descriptor limit end the oldest idle connection

Found by reading: an exception while one command was taken in ended its connection with every answer owed on it; now that command fails and the others go on. Room is made by the oldest idle connection and never by the newest, whose first request may be on its way. Tests without the bench: a client that does not read is read from no further, a defect fails its own command, room at the limit, connections that wait in the kernel.

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -69,9 +69,7 @@
 
     def accept(self, connection: socket.socket, _address: object) -> None:
         self.service.serve(IOStream(connection, max_write_buffer_size=client.MOST_UNWRITTEN))
-        if len(self.service.connections) >= self.most_clients:
-            self.service.make_room()
-        if len(self.service.connections) >= self.most_clients:
+        if len(self.service.connections) >= self.most_clients and not self.service.make_room():
             log.say("accepting_paused", client_connections=len(self.service.connections))
             self.stop_accepting()
 
--- a/mapleshunt/net/client.py
+++ b/mapleshunt/net/client.py
@@ -30,23 +30,24 @@
         # Peers name a request by a part of its number: one that begins anew after a restart must not meet
         # the answers to questions from before.
         self.refs = itertools.count(random.Random(seed).getrandbits(40))
-        self.connections: set[ClientConnection] = set()
+        self.connections: dict[ClientConnection, None] = {}  # the oldest first
         self.ready: Callable[[], bool] = lambda: True
         self.draining = False
         self.ended: Callable[[], None] = lambda: None  # told of each connection that ends
 
     def serve(self, stream: IOStream) -> None:
         connection = ClientConnection(stream, self)
-        self.connections.add(connection)
+        self.connections[connection] = None
         self.counters.add("client_connections")
         connection.task = asyncio.get_running_loop().create_task(connection.run())
 
-    def make_room(self) -> None:
-        """End a connection on which nothing is owed, so that a new client finds a descriptor."""
-        for connection in self.connections:
+    def make_room(self) -> bool:
+        """End the oldest connection on which nothing is owed, but for the newest; False if there is none."""
+        for connection in list(self.connections)[:-1]:
             if not connection.busy():
                 connection.end("made_room")
-                return
+                return True
+        return False
 
     def drain(self) -> None:
         """From now on a connection is closed as soon as nothing is owed on it."""
@@ -101,12 +102,19 @@
             self.end("client_reset" if closed.real_error else "client_closed")
         except (resp.ProtocolError, TooLong) as error:
             self.service.counters.add("malformed_commands")
-            self.last, self.reason = True, "malformed_command"
-            self._slot().put(resp.error(f"ERR {error}"))
+            self._last(resp.error(f"ERR {error}"), "malformed_command")
         except Exception:
-            self.service.counters.add("exceptions")
-            log.trouble("client_connection_exception")
-            self.end("exception")
+            self._trouble()
+            self._last(svc.FAILURE, "exception")
+
+    def _last(self, data: bytes, reason: str) -> None:
+        """Read no more; end once what is owed and this last line are written."""
+        self.last, self.reason = True, reason
+        self._slot().put(data)
+
+    def _trouble(self) -> None:
+        self.service.counters.add("exceptions")
+        log.trouble("client_connection_exception")
 
     async def _take_whole(self) -> None:
         """Take every whole command that has been read, no faster than answers go out."""
@@ -114,6 +122,7 @@
             self.buffer.consume(found[1])
             self.commands += 1
             self._take(found[0])
+            # What a client that does not read can make the gateway hold is bounded here.
             while len(self.slots) >= MOST_PENDING:
                 self.room = asyncio.get_running_loop().create_future()
                 await self.room
@@ -137,6 +146,10 @@
             self.service.counters.add("commands_unacceptable")
             slot.put(resp.error(f"ERR {error}"))
             return
+        except Exception:
+            self._trouble()  # a defect met by one command: the others on this connection go on
+            slot.put(svc.FAILURE)
+            return
         slot.context = context
         admit(context, driver, self.service.max_open)
 
@@ -173,7 +186,7 @@
     def end(self, reason: str) -> None:
         if self not in self.service.connections:
             return
-        self.service.connections.discard(self)
+        del self.service.connections[self]
         self.last = True
         self.stream.close()
         log.say("client_connection_ended", reason=reason, commands=self.commands, owed=len(self.slots))
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -5,8 +5,10 @@
 import asyncio
 import socket
 from collections import deque
+from collections.abc import Awaitable, Callable
 from typing import Any, cast
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
@@ -17,6 +19,7 @@
 from mapleshunt.net.context import RequestContext
 from mapleshunt.net.counters import Counters
 from mapleshunt.net.driver import Driver
+from mapleshunt.net.stages.take_in import take_in
 
 from .conftest import CLASSES, PLANS
 
@@ -49,6 +52,82 @@
     return resp.command([b"SVC.QUERY", WHO, ID, extra])
 
 
+def play(steps: Callable[[client.ClientConnection, socket.socket], Awaitable[None]]) -> Decisions:
+    """Run steps on a connection of its own and the client's end of it."""
+    decisions = Decisions()
+
+    async def run() -> None:
+        ours, theirs = socket.socketpair()
+        theirs.setblocking(False)
+        service = client.Service(cast(Driver, decisions), decisions.counters, 1, 1000)
+        service.serve(IOStream(ours, max_write_buffer_size=client.MOST_UNWRITTEN))
+        (connection,) = service.connections
+        await steps(connection, theirs)
+        connection.end("test over")
+        theirs.close()
+
+    asyncio.run(run())
+    return decisions
+
+
+async def rest() -> None:
+    for _ in range(20):
+        await asyncio.sleep(0)
+
+
+def test_client_that_does_not_read_is_read_from_no_further() -> None:
+    async def steps(connection: client.ClientConnection, theirs: socket.socket) -> None:
+        decisions = cast(Decisions, connection.service.driver)
+        loop = asyncio.get_running_loop()
+        sending = loop.create_task(loop.sock_sendall(theirs, 1000 * query()))
+        while connection.written is None or connection.written.done():  # until the kernel holds no more
+            await rest()
+            for context in list(decisions.open.values()):
+                decisions.open.pop(context.ref).answer.serve(memoryview(bytes(resp.MAX_VALUE)))
+        await rest()
+        held = connection.commands
+        await rest()
+        assert held == connection.commands < 1000 and len(connection.slots) <= client.MOST_PENDING
+        sending.cancel()
+
+    play(steps)
+
+
+def test_defect_met_by_one_command_fails_that_command_alone(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def steps(connection: client.ClientConnection, theirs: socket.socket) -> None:
+        calls = iter([ZeroDivisionError, None])
+
+        def odd(*args: Any) -> RequestContext:
+            if error := next(calls):
+                raise error
+            return take_in(*args)
+
+        monkeypatch.setattr(client, "take_in", odd)
+        theirs.send(2 * query())
+        await rest()
+        (context,) = cast(Decisions, connection.service.driver).open.values()
+        context.answer.fail()
+        assert theirs.recv(100) == b"-ERR failed\r\n-ERR failed\r\n"
+
+    assert play(steps).counters.counts["exceptions"] == 1
+
+
+def test_idle_connection_makes_room_and_a_busy_one_does_not() -> None:
+    async def steps(connection: client.ClientConnection, theirs: socket.socket) -> None:
+        ours, other = socket.socketpair()
+        connection.service.serve(IOStream(ours))
+        theirs.send(query())
+        await rest()
+        assert not connection.service.make_room()
+        (context,) = cast(Decisions, connection.service.driver).open.values()
+        context.answer.fail()
+        assert connection.service.make_room() and connection.stream.closed()
+        assert not connection.service.make_room()  # the newest stays: its request may be on its way
+        other.close()
+
+    play(steps)
+
+
 class ClientModel(RuleBasedStateMachine):
     """Open, ending (a malformed command, or draining), and ended; answers in the order of commands."""
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import os
 import signal
@@ -14,6 +15,7 @@
 
 import pytest
 
+from mapleshunt.__main__ import Program
 from mapleshunt.net import config, resp
 
 ROOT = Path(__file__).parent.parent
@@ -109,6 +111,36 @@
     assert process.returncode == 2 and message.startswith(f"mapleshunt: {said}") and message.count("\n") == 1
 
 
+def test_at_the_limit_new_connections_wait_in_the_kernel() -> None:
+    # One that was accepted and closed at once may have carried a request, which was then lost.
+    async def run() -> None:
+        env = {"PROXY_LISTEN": "127.0.0.1:0", "PROXY_DISCOVERY": "127.0.0.1:1"}
+        program = Program(config.parse(EXAMPLE.read_text(), env))
+        program.most_clients = 2
+        task = asyncio.create_task(program.run())
+        while not program.removers:
+            await asyncio.sleep(0)
+        clients = []
+        for number in range(3):
+            reader, writer = await asyncio.open_connection(*program.listeners[0].getsockname())
+            writer.write(query(1)[:20])  # part of a command: none of them is idle
+            clients.append((reader, writer))
+            while number < 2 and sum(one.busy() for one in program.service.connections) <= number:
+                await asyncio.sleep(0)
+        while program.removers:
+            await asyncio.sleep(0)
+        assert len(program.service.connections) == 2
+        clients[0][1].close()
+        while program.counters.counts["client_connections"] != 3:
+            await asyncio.sleep(0)
+        for _, writer in clients[1:]:
+            writer.close()
+        program.stopped.set()
+        await task
+
+    asyncio.run(run())
+
+
 def test_no_configuration_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
     with pytest.raises(config.ConfigError, match="PROXY_CONFIG"):
         config.load({})
