--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import contextlib
 import signal
@@ -143,6 +144,11 @@
 
 
 def main() -> int:
+    argparse.ArgumentParser(
+        prog="mapleshunt",
+        description="A request gateway that keeps quotas. PROXY_CONFIG names its configuration file.",
+        epilog="SIGUSR1 prints the counters; SIGTERM ends it once all it has taken is answered.",
+    ).parse_args()
     log.set_up()
     try:
         config = load()
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,42 @@
+"""Messages between gateways, over real datagrams."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+from mapleshunt.net.counters import Counters
+from mapleshunt.net.peers import MOST, Peers
+
+
+def test_peers_are_known_by_address_and_messages_are_bounded() -> None:
+    async def run() -> None:
+        names = ("peer", "everyone", "stranger")
+        peer, everyone, stranger = (socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in names)
+        for one in (peer, everyone, stranger):
+            one.bind(("127.0.0.1", 0))
+            one.settimeout(10)
+        heard: list[tuple[int, str]] = []
+        everyones = everyone.getsockname()
+        counters = Counters()
+        addresses = [("127.0.0.1", 1), peer.getsockname()]
+        peers = Peers(("127.0.0.1", 0), addresses, everyones, lambda *m: heard.append(m), counters)
+        peers.tell(1, "x" * MOST)
+        peers.tell(-1, "all")
+        peers.tell(1, "x" * (MOST + 1))  # a longer datagram breaks the protocol: it is never sent
+        peers.tell(2, "nobody")
+        assert peer.recv(1000) == b"x" * MOST and everyone.recv(1000) == b"all"
+        here = peers.socket.getsockname()
+        for sender, data in (stranger, b"odd"), (peer, b"\xff"), (peer, b"y" * (MOST + 1)), (peer, b"hi"):
+            sender.sendto(data, here)
+        while not heard:
+            await asyncio.sleep(0)
+        assert heard == [(1, "hi")]
+        assert counters.counts == {
+            "peer_messages_sent": 2, "peer_messages_unsendable": 2,
+            "peer_messages_strange": 3, "peer_messages_heard": 1}
+        peers.close()
+        for one in (peer, everyone, stranger):
+            one.close()
+
+    asyncio.run(run())
