Linger after a client's last error line, so that a reset cannot take it away

Found by reading: after a malformed command the connection was closed over unread bytes, which resets it; a client still writing could lose its error line. Now the sending side is shut, what comes is thrown away, and the connection ends with the client or after 1 s.

--- a/mapleshunt/net/client.py
+++ b/mapleshunt/net/client.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import random
+import socket
 from collections import deque
 from collections.abc import Callable
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from . import log, resp, svc
-from .buffer import ReadBuffer, TooLong
+from .buffer import CHUNK, ReadBuffer, TooLong
 from .context import RequestContext
 from .counters import Counters
 from .driver import Driver
@@ -19,6 +21,7 @@
 from .stages.take_in import Unacceptable, take_in
 
 MOST_PENDING = 32  # commands of a connection that wait for their answer before reading pauses
+LINGER = 1.0  # s for which a client that got its last line may still end the connection itself
 MOST_UNWRITTEN = MOST_PENDING * (resp.MAX_VALUE + 64)  # bytes
 
 
@@ -90,6 +93,7 @@
         self.last = False  # no further command is read
         self.commands, self.reason = 0, ""
         self.task: asyncio.Task[None] | None = None
+        self.lingering: asyncio.TimerHandle | None = None
         stream.set_nodelay(True)
 
     async def run(self) -> None:
@@ -102,15 +106,25 @@
             self.end("client_reset" if closed.real_error else "client_closed")
         except (resp.ProtocolError, TooLong) as error:
             self.service.counters.add("malformed_commands")
-            self._last(resp.error(f"ERR {error}"), "malformed_command")
+            await self._last(resp.error(f"ERR {error}"), "malformed_command")
         except Exception:
             self._trouble()
-            self._last(svc.FAILURE, "exception")
+            await self._last(svc.FAILURE, "exception")
 
-    def _last(self, data: bytes, reason: str) -> None:
-        """Read no more; end once what is owed and this last line are written."""
+    async def _last(self, data: bytes, reason: str) -> None:
+        """Take no more; end once what is owed and this last line are written.
+
+        What still comes is read and thrown away: closing over unread bytes resets the connection, and a
+        reset can take the last line from the client.
+        """
         self.last, self.reason = True, reason
         self._slot().put(data)
+        waste = bytearray(CHUNK)
+        try:
+            while True:
+                await self.stream.read_into(waste, partial=True)
+        except StreamClosedError:
+            self.end(reason)
 
     def _trouble(self) -> None:
         self.service.counters.add("exceptions")
@@ -179,7 +193,12 @@
     def close_if_done(self) -> None:
         """Close a connection that is to end, once nothing is owed on it and all is written."""
         if not self.busy():
-            self.end(self.reason or "drained")
+            if not self.last:
+                self.end("drained")
+            elif self.lingering is None:
+                with contextlib.suppress(OSError):
+                    self.stream.socket.shutdown(socket.SHUT_WR)
+                self.lingering = asyncio.get_running_loop().call_later(LINGER, self.end, self.reason)
         elif not self.slots and self.written is not None and not self.written.done():
             self.written.add_done_callback(lambda _: self.close_if_done())
 
@@ -188,6 +207,8 @@
             return
         del self.service.connections[self]
         self.last = True
+        if self.lingering is not None:
+            self.lingering.cancel()
         self.stream.close()
         log.say("client_connection_ended", reason=reason, commands=self.commands, owed=len(self.slots))
         for slot in self.slots:
