--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -87,23 +87,33 @@
             remove()
         self.removers = []
 
-    async def run(self) -> None:
-        config, loop = self.config, asyncio.get_running_loop()
-        if config.known is not None:
-            self.driver.feed(self.group.update("persisted", member_list(config.known).members))
-        if config.peer_listen is not None and config.peers_all is not None:
-            self.peers = Peers(config.peer_listen, config.peers, config.peers_all, self.heard, self.counters)
-            self.driver.tell = self.peers.tell
-        host, port = config.listen
-        self.listeners = bind_sockets(port, host, backlog=BACKLOG)
+    def start(self) -> None:
+        """Take over the known list and begin to listen. What fails here is the configuration's fault."""
+        config = self.config
+        try:
+            if config.known is not None:
+                self.driver.feed(self.group.update("persisted", member_list(config.known).members))
+            if config.peer_listen is not None and config.peers_all is not None:
+                self.peers = Peers(
+                    config.peer_listen, config.peers, config.peers_all, self.heard, self.counters
+                )
+                self.driver.tell = self.peers.tell
+            host, port = config.listen
+            self.listeners = bind_sockets(port, host, backlog=BACKLOG)
+        except (ValueError, OSError) as error:
+            raise ConfigError(f"cannot start: {error}") from None
         self.start_accepting()
+        log.say("started", name=config.name, listen=f"{host}:{port}", servers=len(self.group.servers))
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.start()
         loop.add_signal_handler(signal.SIGTERM, self.stopped.set)
         loop.add_signal_handler(signal.SIGINT, self.stopped.set)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
         sweep = PeriodicCallback(self.group.sweep, 1000)
         sweep.start()
         watch = loop.create_task(self.discovery.run())
-        log.say("started", name=config.name, listen=f"{host}:{port}", servers=len(self.group.servers))
         await self.stopped.wait()
         await self.leave()
         watch.cancel()
@@ -153,7 +163,7 @@
     try:
         config = load()
         uvloop.run(_main(config))
-    except (ConfigError, ValueError, OSError) as error:
+    except ConfigError as error:
         print(f"mapleshunt: {error}", file=sys.stderr)
         return 2
     return 0
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -98,7 +98,8 @@
         ({"listen": "x"}, "listen must be HOST:PORT, not 'x'"),
         ({"seed": "xyz"}, "seed must be hex digits, not 'xyz'"),
         ({"settings": {"RequestClasses": 1}}, "the configuration lacks"),
-        ({"known": {"members": 1}}, "a list of members is malformed"),
+        ({"known": {"members": 1}}, "cannot start: a list of members is malformed"),
+        ({"listen": "203.0.113.1:1"}, "cannot start: [Errno"),
     ],
 )
 def test_bad_configuration_is_one_plain_message_and_exit_2(text: Any, said: str, tmp_path: Path) -> None:
