Never tell the decisions a timer early: uvloop did, and answers waited for the guard

Checked: the decisions answer 8 ms before a request's patience ends, the guard 4 ms before; a timer that comes early is taken for an old one and nothing sets it again. Lines at fault: Driver._do, SetTimer handed to call_later as it was.

--- a/mapleshunt/net/driver.py
+++ b/mapleshunt/net/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -119,12 +120,24 @@
                 if attempt := self.out.get((ref, number)):
                     attempt.give_up("cancelled")
             case i.SetTimer(at, token):
-                self.loop.call_later(max(0.0, at - self.now()) / 1000, self.feed, i.Timer(token))
+                self._set_timer(at, token)
             case i.Tell(peer, data):
                 self.tell(peer, data)
             case i.Watch():
                 pass  # discovery is always watched
 
+    def _set_timer(self, at: float, token: int) -> None:
+        left = max(0, math.ceil(at - self.now()))
+        self.loop.call_later(left / 1000, self._fire, at, token)
+
+    def _fire(self, at: float, token: int) -> None:
+        # uvloop counts whole ms from the start of its turn, so it may fire early. The decisions take an early
+        # timer for one of the past and set no other: what it was for would wait for the next event.
+        if self.now() < at:
+            self._set_timer(at, token)
+        else:
+            self.feed(i.Timer(token))
+
     def _send(self, action: i.Send) -> None:
         if (context := self.open.get(action.ref)) is None:
             self.counters.add("sends_too_late")
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -162,6 +162,28 @@
     play(lambda event: [SetTimer(event_time() + 5, 3)] if isinstance(event, Request) else [], steps)
 
 
+def test_timer_that_the_loop_fires_early_waits_for_its_time() -> None:
+    # uvloop did: the decisions then saw a timer of the past, and answers came as late as the driver's guard.
+    async def steps(driver: Driver, decisions: Scripted) -> None:
+        real, early = driver.loop.call_later, 2
+
+        def call_later(delay: float, *what: Any) -> asyncio.TimerHandle:
+            nonlocal early
+            early -= 1
+            return real(0 if early >= 0 else delay, *what)
+
+        monkeypatch = pytest.MonkeyPatch()
+        monkeypatch.setattr(driver.loop, "call_later", call_later)
+        at = driver.now() + 20
+        driver._carry_out([SetTimer(at, 7)])
+        while not decisions.told:
+            await asyncio.sleep(0.001)
+        monkeypatch.undo()
+        assert decisions.told == [Timer(7)] and driver.now() >= at and early < 0
+
+    play(lambda event: [], steps)
+
+
 def event_time() -> float:
     return time.time() * 1000
 
