--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -144,7 +144,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        client.LINGER = 3600.0  # no step of the model rests on time
+        self.linger, client.LINGER = client.LINGER, 3600.0  # no step of the model rests on time
         self.loop = asyncio.new_event_loop()
         self.decisions = Decisions()
         self.order: deque[list[Any]] = deque()  # [context or None, the answer's bytes or None]
@@ -298,6 +298,7 @@
             self.do(lambda: self.connection.end("test over"))
             self.theirs.close()
         self.loop.close()
+        client.LINGER = self.linger
 
 
 TestClientModel = ClientModel.TestCase
