Tell a till server the wait that is left once it is connected

Found by reading: d was worked out before dialling, so a try on a new connection told up to the dial limit too much.

--- a/mapleshunt/net/driver.py
+++ b/mapleshunt/net/driver.py
@@ -148,10 +148,9 @@
         attempt.task = self.loop.create_task(self._try(context, attempt))
 
     async def _try(self, context: RequestContext, attempt: Try) -> None:
-        left = attempt.until - self.now()
-        limit = self.loop.call_later(left / 1000, attempt.give_up, "timeout")
+        limit = self.loop.call_later((attempt.until - self.now()) / 1000, attempt.give_up, "timeout")
         try:
-            ending = await send(context, attempt, self.group, left)
+            ending = await send(context, attempt, self.group, self.now)
         except Exception:
             self.counters.add("exceptions")
             log.trouble("try_exception", ref=context.ref)
--- a/mapleshunt/net/stages/send.py
+++ b/mapleshunt/net/stages/send.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ..context import Ending, RequestContext, Try
 from ..upstream import ConnectionLost, DialFailed, NoRoom, UpstreamGroup
 
 
-async def send(context: RequestContext, attempt: Try, group: UpstreamGroup, left: float) -> Ending:
-    """`left` is for how many ms the gateway will wait.
+async def send(
+    context: RequestContext, attempt: Try, group: UpstreamGroup, now: Callable[[], float]
+) -> Ending:
+    """The till server is told for how long the gateway will wait once it is connected: dialling takes time.
 
     Whether a try may have run decides if it may be repeated. It may have, once its last byte was written;
     before that it never ran, whatever broke or was given up.
@@ -19,6 +23,7 @@
             attempt.connection = connection
             await connection.connect()
         attempt.connection = connection
+        left = attempt.until - now()
         if attempt.given_up is not None or left < 1:
             group.release(connection)
             return Ending("unsent")
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -52,7 +52,7 @@
     message = SvcMessage(WORDS, {"c": "look", "d": "480", "r": "1"})
     context = RequestContext(1, Request(1, "look", "wide", "c", 480), message, answer, 0.0)
     attempt = Try(0, number, 0.0, 480.0)
-    return attempt, asyncio.create_task(send(context, attempt, group, 300.7))
+    return attempt, asyncio.create_task(send(context, attempt, group, lambda: 179.3))
 
 
 async def taken(server: socket.socket) -> bytes:
