Serve on through SIGHUP: go by the discovery the new configuration names

Cause: __main__.py run() set handlers for SIGTERM, SIGINT and SIGUSR1 only, so SIGHUP did what it does unhandled. Ruled out: the discovery client; it never got to see the new address. Change: on SIGHUP the file is read again (without the environment's older addresses) and a new watch takes the place of the old one; a file that cannot be used is logged and changes nothing.

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -17,7 +17,7 @@
 
 from . import interface as i
 from .net import client, log
-from .net.config import Config, ConfigError, load
+from .net.config import Address, Config, ConfigError, load, reload
 from .net.counters import Counters
 from .net.discovery import Discovery, MemberList, member_list
 from .net.driver import Driver
@@ -42,7 +42,7 @@
         self.driver = Driver(config.settings, config.seed, self.group, self.counters)
         self.service = client.Service(self.driver, self.counters, config.seed, config.max_open)
         self.service.ready = self.ready
-        self.discovery = Discovery(config.discovery, self.told, self.counters)
+        self.watching: asyncio.Task[None] | None = None
         self.peers: Peers | None = None
         self.stopped = asyncio.Event()
         self.leaving = False
@@ -105,20 +105,46 @@
         self.start_accepting()
         log.say("started", name=config.name, listen=f"{host}:{port}", servers=len(self.group.servers))
 
+    def watch(self, agent: Address) -> None:
+        """Follow this discovery agent, and no longer the one before."""
+        if self.watching is not None:
+            self.watching.cancel()
+        discovery = Discovery(agent, self.told, self.counters)
+        self.watching = asyncio.get_running_loop().create_task(discovery.run())
+
+    def reload(self) -> None:
+        """SIGHUP: go by the addresses that the configuration names now; what is being served goes on.
+
+        Unhandled, the signal ends the program with all it has taken. A new file that cannot be read must
+        not end it either: the addresses it had may still do.
+        """
+        try:
+            config = reload()
+        except ConfigError as error:
+            self.counters.add("reloads_failed")
+            log.say("reload_failed", why=error)
+            return
+        self.counters.add("reloads")
+        log.say("reloaded", discovery=config.discovery, counter=config.counter)
+        self.config = config
+        self.watch(config.discovery)
+
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
         self.start()
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         loop.add_signal_handler(signal.SIGTERM, self.stopped.set)
         loop.add_signal_handler(signal.SIGINT, self.stopped.set)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
         sweep = PeriodicCallback(self.group.sweep, 1000)
         sweep.start()
-        watch = loop.create_task(self.discovery.run())
+        self.watch(self.config.discovery)
         await self.stopped.wait()
         await self.leave()
-        watch.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await watch
+        if self.watching is not None:
+            self.watching.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self.watching
         sweep.stop()
         self.group.close()
         if self.peers is not None:
@@ -157,7 +183,8 @@
     argparse.ArgumentParser(
         prog="mapleshunt",
         description="A request gateway that keeps quotas. PROXY_CONFIG names its configuration file.",
-        epilog="SIGUSR1 prints the counters; SIGTERM ends it once all it has taken is answered.",
+        epilog="SIGHUP reads the configuration's addresses anew; SIGUSR1 prints the counters; "
+        "SIGTERM ends it once all it has taken is answered.",
     ).parse_args()
     log.set_up()
     try:
--- a/mapleshunt/net/config.py
+++ b/mapleshunt/net/config.py
@@ -29,6 +29,7 @@
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
+    counter: Address | None
     known: Mapping[str, Any] | None
     settings: i.Settings
     dial_timeout: float  # ms
@@ -78,6 +79,7 @@
             peer_listen=address(raw["peer_listen"], "peer_listen") if together else None,
             peers=peers,
             peers_all=address(raw["peers_all"], "peers_all") if together else None,
+            counter=address(raw["counter"], "counter") if raw.get("counter") else None,
             known=raw.get("known"),
             settings=settings,
             dial_timeout=float(limits.get("DialTimeout") or 250.0),
@@ -100,3 +102,8 @@
     except (OSError, UnicodeDecodeError) as error:
         raise ConfigError(f"the configuration cannot be read: {error}") from None
     return parse(text, env)
+
+
+def reload(env: Mapping[str, str] = os.environ) -> Config:
+    """The file as it is now. The environment dates from the start: its addresses may have been given up."""
+    return load({"PROXY_CONFIG": env.get("PROXY_CONFIG", "")})
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -89,6 +89,44 @@
     assert "event=client_connection_ended reason=drained commands=11 owed=0" in log
 
 
+def test_reload_swaps_discovery_while_serving_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    # The signal ended the program, and with it lost the requests it had taken.
+    toys = [run("-m", "examples.toy_server", "0") for _ in range(2)]
+    agents = [toy.stdout.readline().split()[-1] for toy in toys if toy.stdout is not None]
+    file, port = tmp_path / "config.json", free_port()
+
+    def write(agent: str) -> None:
+        text = {**json.loads(EXAMPLE.read_text()), "discovery": agent, "listen": f"127.0.0.1:{port}"}
+        file.write_text(json.dumps(text))
+
+    write(agents[0])
+    process = run("-m", "mapleshunt", PROXY_CONFIG=str(file), PROXY_DISCOVERY=agents[0])
+    assert process.stderr is not None
+
+    def logged(event: str) -> str:
+        while f"event={event} " not in (line := process.stderr.readline()):  # type: ignore[union-attr]
+            assert process.poll() is None
+        return line
+
+    logged("members")
+    with socket.create_connection(("127.0.0.1", port), timeout=10) as client:
+        file.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        assert "not JSON" in logged("reload_failed")
+        write(agents[1])
+        process.send_signal(signal.SIGHUP)
+        assert agents[1].split(":")[1] in logged("reloaded")
+        assert "kind=complete" in logged("members")
+        client.sendall(query(1))
+        assert isinstance(replies(client, 1)[0], memoryview)
+    process.send_signal(signal.SIGTERM)
+    process.communicate(timeout=30)
+    for toy in toys:
+        toy.kill()
+        toy.communicate()
+    assert process.returncode == 0
+
+
 @pytest.mark.parametrize(
     ("text", "said"),
     [
