Bound what a client connection may hold, and refuse what till servers would

Traced with temporary log lines: the refused ones had customers from 2^33 on, units of 0, sets out of range or the id of an open request (svc.py intake, take_in.py); the stalls were 600 commands pipelined, taken in one go (client.py _take_whole); the lost request was closed over by make_room, which took the oldest and did not look for unread bytes (client.py). Change: ranges and ids are checked; a connection has 2 s to ask something, or to end a command it began; unread bytes are looked for before an idle one is ended; silent ones make room first; pipelined commands take turns, commands that cannot be served are paced and ten of them end their connection; accepting goes by eights.

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -8,12 +8,11 @@
 import signal
 import socket
 import sys
-from collections.abc import Callable
 
 import uvloop
-from tornado.ioloop import PeriodicCallback
+from tornado.ioloop import IOLoop, PeriodicCallback
 from tornado.iostream import IOStream
-from tornado.netutil import add_accept_handler, bind_sockets
+from tornado.netutil import bind_sockets
 
 from . import interface as i
 from .net import client, log
@@ -26,6 +25,8 @@
 
 STAY = 0.5  # s after SIGTERM for which new connections are still taken
 BACKLOG = 512  # connections that wait in the kernel to be accepted
+ACCEPT_AT_ONCE = 8
+RESTED = 0.5  # s with nothing owed after which a connection makes room when there are many
 RESERVE = 32  # descriptors kept for the log, the loop, the listener, discovery and peers
 SERVERS_PART = 0.4  # part of the other descriptors that connections to till servers may take
 
@@ -38,6 +39,8 @@
         usable = max(16, config.sockets - RESERVE)
         upstream = int(usable * SERVERS_PART)
         self.most_clients = usable - upstream
+        # Usual clients hold a third at most: well before that, those that ask no more give up their places.
+        self.many_clients = config.sockets // 4
         self.group = UpstreamGroup(self.counters, config.dial_timeout, config.conn_idle / 3, upstream)
         self.driver = Driver(config.settings, config.seed, self.group, self.counters)
         self.service = client.Service(self.driver, self.counters, config.seed, config.max_open)
@@ -47,7 +50,7 @@
         self.stopped = asyncio.Event()
         self.leaving = False
         self.listeners: list[socket.socket] = []
-        self.removers: list[Callable[[], None]] = []  # of the handlers that accept
+        self.accepting = False
         self.service.ended = self.resume_accepting
 
     def ready(self) -> bool:
@@ -68,24 +71,42 @@
     # Client connections: at the limit an idle one makes room, and with none idle new ones wait in the
     # kernel. One that was accepted and closed might have carried a request, which would be lost.
 
-    def accept(self, connection: socket.socket, _address: object) -> None:
-        self.service.serve(IOStream(connection, max_write_buffer_size=client.MOST_UNWRITTEN))
-        if len(self.service.connections) >= self.most_clients and not self.service.make_room():
-            log.say("accepting_paused", client_connections=len(self.service.connections))
-            self.stop_accepting()
+    def accept(self, listener: socket.socket) -> None:
+        # A few at a time: hundreds that connect at once must not hold up the requests of others.
+        for _ in range(ACCEPT_AT_ONCE):
+            if not self.accepting:
+                return
+            try:
+                connection, _address = listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:  # it ended before it was accepted, or no descriptor is left
+                self.counters.add("accepts_failed")
+                log.say("accept_failed", why=error)
+                return
+            connection.setblocking(False)
+            self.service.serve(IOStream(connection, max_write_buffer_size=client.MOST_UNWRITTEN))
+            count = len(self.service.connections)
+            if count >= self.most_clients and not self.service.make_room():
+                log.say("accepting_paused", client_connections=count)
+                self.stop_accepting()
+            elif count >= self.many_clients:
+                self.service.make_room(RESTED)
 
     def resume_accepting(self) -> None:
-        if not self.removers and not self.leaving and len(self.service.connections) < self.most_clients:
+        if not self.accepting and not self.leaving and len(self.service.connections) < self.most_clients:
             log.say("accepting_resumed", client_connections=len(self.service.connections))
             self.start_accepting()
 
     def start_accepting(self) -> None:
-        self.removers = [add_accept_handler(one, self.accept) for one in self.listeners]
+        self.accepting = True
+        for one in self.listeners:
+            IOLoop.current().add_handler(one, lambda listener, _: self.accept(listener), IOLoop.READ)
 
     def stop_accepting(self) -> None:
-        for remove in self.removers:
-            remove()
-        self.removers = []
+        for one in self.listeners if self.accepting else ():
+            IOLoop.current().remove_handler(one)
+        self.accepting = False
 
     def start(self) -> None:
         """Take over the known list and begin to listen. What fails here is the configuration's fault."""
@@ -136,8 +157,9 @@
         loop.add_signal_handler(signal.SIGTERM, self.stopped.set)
         loop.add_signal_handler(signal.SIGINT, self.stopped.set)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
-        sweep = PeriodicCallback(self.group.sweep, 1000)
-        sweep.start()
+        sweeps = [PeriodicCallback(self.group.sweep, 1000), PeriodicCallback(self.service.sweep, 100)]
+        for sweep in sweeps:
+            sweep.start()
         self.watch(self.config.discovery)
         await self.stopped.wait()
         await self.leave()
@@ -145,7 +167,8 @@
             self.watching.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self.watching
-        sweep.stop()
+        for sweep in sweeps:
+            sweep.stop()
         self.group.close()
         if self.peers is not None:
             self.peers.close()
--- a/mapleshunt/net/client.py
+++ b/mapleshunt/net/client.py
@@ -21,8 +21,14 @@
 from .stages.take_in import Unacceptable, take_in
 
 MOST_PENDING = 32  # commands of a connection that wait for their answer before reading pauses
-LINGER = 1.0  # s for which a client that got its last line may still end the connection itself
 MOST_UNWRITTEN = MOST_PENDING * (resp.MAX_VALUE + 64)  # bytes
+LINGER = 1.0  # s for which a client that got its last line may still end the connection itself
+IDLE = 2.0  # s that a connection may stand with nothing owed on it, or with a command begun and not ended
+SILENT = 0.2  # s after which a connection that has brought nothing is the first to make room
+UNREAD = 10.0  # s that an answer may wait for its client to read it
+STRIKES = 10  # commands that ask for nothing to be had, after which their connection ends
+PACE = 0.05  # s before the next command is read after such a one
+WASTE = bytearray(16 * CHUNK)  # where bytes go that nobody will read; shared, for they are never looked at
 
 
 class Service:
@@ -34,6 +40,7 @@
         # the answers to questions from before.
         self.refs = itertools.count(random.Random(seed).getrandbits(40))
         self.connections: dict[ClientConnection, None] = {}  # the oldest first
+        self.ids: set[str] = set()  # of the requests that are open
         self.ready: Callable[[], bool] = lambda: True
         self.draining = False
         self.ended: Callable[[], None] = lambda: None  # told of each connection that ends
@@ -44,13 +51,31 @@
         self.counters.add("client_connections")
         connection.task = asyncio.get_running_loop().create_task(connection.run())
 
-    def make_room(self) -> bool:
-        """End the oldest connection on which nothing is owed, but for the newest; False if there is none."""
-        for connection in list(self.connections)[:-1]:
-            if not connection.busy():
-                connection.end("made_room")
-                return True
-        return False
+    def make_room(self, rested: float = 0.0) -> bool:
+        """End a connection with nothing owed on it for `rested` s, but for the newest; False if none is.
+
+        Those that have brought nothing go first: clients that connect by hundreds and say nothing must not
+        take the places of those that ask.
+        """
+        newest, now = next(reversed(self.connections), None), asyncio.get_running_loop().time()
+        best: ClientConnection | None = None
+        for one in self.connections:
+            if one is newest or now - one.since < rested or one.busy():
+                continue
+            if not one.commands and now - one.since > SILENT and not one.unread():
+                best = one
+                break
+            if (best is None or one.since < best.since) and not one.unread():
+                best = one
+        if best is not None:
+            best.end("made_room")
+        return best is not None
+
+    def sweep(self) -> None:
+        """End what stands idle, stops in the middle of a command, or does not read its answers."""
+        now = asyncio.get_running_loop().time()
+        for connection in list(self.connections):
+            connection.end_if_overdue(now)
 
     def drain(self) -> None:
         """From now on a connection is closed as soon as nothing is owed on it."""
@@ -91,7 +116,9 @@
         self.written: asyncio.Future[None] | None = None
         self.room: asyncio.Future[None] | None = None  # what a paused reader waits for
         self.last = False  # no further command is read
-        self.commands, self.reason = 0, ""
+        self.commands, self.strikes, self.reason = 0, 0, ""
+        # When it was opened, last written to, or, once it has brought a command, when the next was begun.
+        self.since = asyncio.get_running_loop().time()
         self.task: asyncio.Task[None] | None = None
         self.lingering: asyncio.TimerHandle | None = None
         stream.set_nodelay(True)
@@ -101,7 +128,10 @@
         try:
             while not self.last:
                 await self._take_whole()
+                begun = self.buffer.start != self.buffer.end
                 await self.buffer.fill(self.stream)
+                if self.commands and not begun:
+                    self.since = asyncio.get_running_loop().time()
         except StreamClosedError as closed:
             self.end("client_reset" if closed.real_error else "client_closed")
         except (resp.ProtocolError, TooLong) as error:
@@ -119,10 +149,10 @@
         """
         self.last, self.reason = True, reason
         self._slot().put(data)
-        waste = bytearray(CHUNK)
         try:
             while True:
-                await self.stream.read_into(waste, partial=True)
+                await self.stream.read_into(WASTE, partial=True)
+                await asyncio.sleep(PACE / 10)  # it may go on at full speed: the others come first
         except StreamClosedError:
             self.end(reason)
 
@@ -133,39 +163,50 @@
     async def _take_whole(self) -> None:
         """Take every whole command that has been read, no faster than answers go out."""
         while found := resp.parse_command(self.buffer.data, self.buffer.start, self.buffer.end):
+            if self.last:  # it was ended while this waited
+                return
             self.buffer.consume(found[1])
             self.commands += 1
-            self._take(found[0])
+            if not self._take(found[0]):
+                self.strikes += 1
+                if self.strikes == STRIKES:
+                    raise resp.ProtocolError("too many commands that cannot be served")
+                await asyncio.sleep(PACE)
             # What a client that does not read can make the gateway hold is bounded here.
             while len(self.slots) >= MOST_PENDING:
                 self.room = asyncio.get_running_loop().create_future()
                 await self.room
             if self.written is not None and not self.written.done():
                 await self.written
+            if self.buffer.start != self.buffer.end:
+                await asyncio.sleep(0)  # hundreds at once must not hold up other connections
 
     def _slot(self) -> Slot:
         slot = Slot(self)
         self.slots.append(slot)
         return slot
 
-    def _take(self, words: list[memoryview]) -> None:
+    def _take(self, words: list[memoryview]) -> bool:
+        """False if the command asks for what is not to be had."""
         slot, driver = self._slot(), self.service.driver
         if bytes(words[0]).upper() == b"PING":
             slot.put(b"+PONG\r\n" if self.service.ready() else resp.error("ERR not ready"))
-            return
+            return True
         try:
             intake = svc.intake(words)
-            context = take_in(intake, slot, driver.settings, next(self.service.refs), driver.now())
+            ref, ids = next(self.service.refs), self.service.ids
+            context = take_in(intake, slot, driver.settings, ref, driver.now(), ids)
         except (svc.BadCommand, Unacceptable) as error:
             self.service.counters.add("commands_unacceptable")
             slot.put(resp.error(f"ERR {error}"))
-            return
+            return False
         except Exception:
             self._trouble()  # a defect met by one command: the others on this connection go on
             slot.put(svc.FAILURE)
-            return
+            return True
         slot.context = context
         admit(context, driver, self.service.max_open)
+        return True
 
     def flush(self) -> None:
         """Write the answers that are next in order."""
@@ -174,6 +215,7 @@
             ready.append(data)
             self.slots.popleft()
         if ready and not self.stream.closed():
+            self.since = asyncio.get_running_loop().time()
             try:
                 self.written = self.stream.write(b"".join(ready))
             except StreamBufferFullError:
@@ -190,11 +232,33 @@
         part = self.buffer.start != self.buffer.end and not self.last
         return bool(self.slots) or part or (self.written is not None and not self.written.done())
 
+    def unread(self) -> bool:
+        """Has something come that is not read yet? It may be a request, which closing over it would lose."""
+        try:
+            return bool(self.stream.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    def end_if_overdue(self, now: float) -> None:
+        """Its client is owed an answer to what it asks, and no more than some time to ask it."""
+        if self.last or self.slots or now - self.since < IDLE:
+            return
+        if self.written is not None and not self.written.done():
+            if now - self.since > UNREAD:
+                self.end("slow_client")
+        elif not self.unread():
+            if self.buffer.start == self.buffer.end:
+                self.end("idle")
+            else:
+                self.last, self.reason = True, "half_a_command"
+                self._slot().put(resp.error("ERR a command was begun and not ended"))
+
     def close_if_done(self) -> None:
         """Close a connection that is to end, once nothing is owed on it and all is written."""
         if not self.busy():
             if not self.last:
-                self.end("drained")
+                if not self.unread():
+                    self.end("drained")
             elif self.lingering is None:
                 with contextlib.suppress(OSError):
                     self.stream.socket.shutdown(socket.SHUT_WR)
--- a/mapleshunt/net/context.py
+++ b/mapleshunt/net/context.py
@@ -36,6 +36,7 @@
 class Intake:
     """What a request says of itself, read but not yet checked against the settings."""
 
+    id: str  # as its client named it
     cls: str
     plan: str
     customer: str
@@ -83,6 +84,8 @@
     message: Message
     answer: Answer
     taken: float  # on the driver's clock
+    id: str = ""
+    ids: set[str] = field(default_factory=set)  # of all requests that are open
     tries: list[Try] = field(default_factory=list)
     guard: asyncio.TimerHandle | None = None
     open: bool = True  # the final answer is still owed
@@ -94,6 +97,8 @@
     def end(self) -> bool:
         """Claim the right to give the final answer; False if that has been done."""
         was, self.open = self.open, False
+        if was:
+            self.ids.discard(self.id)
         if self.guard is not None:
             self.guard.cancel()
             self.guard = None
--- a/mapleshunt/net/stages/take_in.py
+++ b/mapleshunt/net/stages/take_in.py
@@ -10,7 +10,14 @@
     """The request is not one the settings know; nothing of it is sent on."""
 
 
-def take_in(intake: Intake, answer: Answer, settings: i.Settings, ref: int, now: float) -> RequestContext:
+def take_in(
+    intake: Intake, answer: Answer, settings: i.Settings, ref: int, now: float, ids: set[str]
+) -> RequestContext:
+    """`ids` are those of the open requests; the new one's is added to them.
+
+    A till server would refuse what is out of range, or close on it; a second request under an open one's
+    id would be a second attempt of that, out beside the first.
+    """
     cls = settings.classes.get(intake.cls)
     if cls is None:
         raise Unacceptable("unknown class")
@@ -20,15 +27,22 @@
         raise Unacceptable("this class goes by the other command")
     if cls.effect == "keyed" and not intake.key:
         raise Unacceptable("this class needs a key")
+    if not 0 < intake.units <= settings.largest:
+        raise Unacceptable("units are out of range")
+    if not (1 <= intake.spread <= settings.instances and 0 <= intake.first < settings.instances):
+        raise Unacceptable("the customer's set is out of range")
+    if intake.id in ids:
+        raise Unacceptable("a request of this id is open")
     request = i.Request(
         ref=ref,
         cls=intake.cls,
         plan=intake.plan,
         customer=intake.customer,
         patience=intake.patience,
-        units=intake.units or 1.0,
-        spread=max(1, intake.spread),
-        first=intake.first % settings.instances,
+        units=intake.units,
+        spread=intake.spread,
+        first=intake.first,
         retry=intake.retry,
     )
-    return RequestContext(ref, request, intake.message, answer, now)
+    ids.add(intake.id)
+    return RequestContext(ref, request, intake.message, answer, now, intake.id, ids)
--- a/mapleshunt/net/svc.py
+++ b/mapleshunt/net/svc.py
@@ -9,7 +9,8 @@
 from .context import Ending, Intake
 
 QUERY, SUBMIT = b"SVC.QUERY", b"SVC.SUBMIT"
-CUSTOMER = re.compile(r"[0-9a-f]{16}")
+HEX = re.compile(r"[0-9a-f]{16}")
+MOST_CUSTOMERS = 1 << 33  # a till server refuses a customer's number from here on
 WAIT = re.compile(r"[0-9]{1,7}(\.[0-9]{1,6})?")
 UNITS = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?")
 COUNT = re.compile(r"[0-9]{1,6}")
@@ -61,13 +62,19 @@
     if len(words) not in ((4,) if verb == QUERY else (4, 5)):
         raise BadCommand("wrong number of words")
     customer = bytes(words[1]).decode("latin-1")
-    if not CUSTOMER.fullmatch(customer):
-        raise BadCommand("the customer must be 16 hex digits")
+    if not HEX.fullmatch(customer) or int(customer, 16) >= MOST_CUSTOMERS:
+        raise BadCommand("the customer must be 16 hex digits, a number below 2^33")
+    request = bytes(words[2]).decode("latin-1")
+    if not HEX.fullmatch(request):
+        raise BadCommand("the request's id must be 16 hex digits")
     pairs = _pairs(words[3])
     patience = float(_figure(pairs, "d", WAIT))
     if patience <= 0:
         raise BadCommand("d is missing or malformed")
+    if "k" in pairs and not HEX.fullmatch(pairs["k"]):
+        raise BadCommand("k must be 16 hex digits")
     return Intake(
+        id=request,
         cls=pairs.get("c", ""),
         plan=pairs.get("t", ""),
         customer=customer,
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -26,7 +27,8 @@
 settings.register_profile("steady", derandomize=True, deadline=None, database=None)
 settings.load_profile("steady")
 
-WHO, ID = b"00000000b4d65521", b"9b1f03aa5c7e2d41"
+WHO = b"00000000b4d65521"
+IDS = itertools.count()
 
 
 class Decisions:
@@ -49,7 +51,7 @@
 
 
 def query(extra: bytes = b"c=look,t=wide,d=480") -> bytes:
-    return resp.command([b"SVC.QUERY", WHO, ID, extra])
+    return resp.command([b"SVC.QUERY", WHO, b"%016x" % next(IDS), extra])
 
 
 def play(steps: Callable[[client.ClientConnection, socket.socket], Awaitable[None]]) -> Decisions:
@@ -79,7 +81,8 @@
     async def steps(connection: client.ClientConnection, theirs: socket.socket) -> None:
         decisions = cast(Decisions, connection.service.driver)
         loop = asyncio.get_running_loop()
-        sending = loop.create_task(loop.sock_sendall(theirs, 1000 * query()))
+        commands = b"".join(query() for _ in range(1000))
+        sending = loop.create_task(loop.sock_sendall(theirs, commands))
         while connection.written is None or connection.written.done():  # until the kernel holds no more
             await rest()
             for context in list(decisions.open.values()):
@@ -103,7 +106,7 @@
             return take_in(*args)
 
         monkeypatch.setattr(client, "take_in", odd)
-        theirs.send(2 * query())
+        theirs.send(query() + query())
         await rest()
         (context,) = cast(Decisions, connection.service.driver).open.values()
         context.answer.fail()
@@ -139,12 +142,109 @@
     play(steps)
 
 
+def test_silent_connections_make_room_before_those_that_ask(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Hundreds connect and say nothing: the oldest went first, and it was the usual clients that lost theirs.
+    async def steps(connection: client.ClientConnection, theirs: socket.socket) -> None:
+        monkeypatch.setattr(client, "SILENT", -1.0)
+        theirs.send(resp.command([b"PING"]))
+        await rest()
+        pairs = [socket.socketpair() for _ in range(3)]
+        for ours, _ in pairs:
+            connection.service.serve(IOStream(ours))
+        assert connection.service.make_room() and connection.service.make_room()
+        assert connection.service.make_room() and connection.stream.closed()
+        for _, other in pairs:
+            other.close()
+
+    play(steps)
+
+
+def test_connection_with_bytes_not_read_yet_is_not_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Ending it lost the request that had come and lay unread.
+    async def steps(connection: client.ClientConnection, theirs: socket.socket) -> None:
+        monkeypatch.setattr(client, "IDLE", -1.0)
+        ours, other = socket.socketpair()
+        connection.service.serve(IOStream(ours))
+        await rest()
+        theirs.send(query())
+        assert not connection.service.make_room()
+        connection.service.sweep()
+        connection.service.drain()
+        await rest()
+        assert not connection.stream.closed() and len(connection.slots) == 1
+        other.close()
+
+    play(steps)
+
+
+@pytest.mark.parametrize(
+    ("sent", "got"),
+    [(b"", b""), (b"*2\r\n$4\r\nPI", b"-ERR a command was begun and not ended\r\n")],
+)
+def test_silence_and_half_a_command_are_ended_in_time(
+    sent: bytes, got: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def steps(connection: client.ClientConnection, theirs: socket.socket) -> None:
+        theirs.send(sent)
+        await rest()
+        connection.service.sweep()
+        assert not connection.stream.closed()
+        monkeypatch.setattr(client, "IDLE", -1.0)
+        connection.service.sweep()
+        await rest()
+        assert theirs.recv(100) == got
+        assert got == b"" or theirs.recv(1) == b""
+
+    play(steps)
+
+
+def test_hundreds_of_commands_at_once_take_turns_with_other_work() -> None:
+    # They were taken in one go, and all other connections waited for a quarter of a second.
+    async def steps(connection: client.ClientConnection, theirs: socket.socket) -> None:
+        theirs.send(50 * resp.command([b"PING"]))
+        while not connection.commands:
+            await asyncio.sleep(0)
+        assert connection.commands < 5
+
+    play(steps)
+
+
+def test_client_that_goes_on_asking_for_what_is_not_to_be_had_is_ended(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def steps(connection: client.ClientConnection, theirs: socket.socket) -> None:
+        monkeypatch.setattr(client, "PACE", 0.0)
+        theirs.send(600 * query(b"c=odd,t=wide,d=9"))
+        while not connection.last:
+            await asyncio.sleep(0)
+        assert connection.commands == client.STRIKES and connection.reason == "malformed_command"
+
+    play(steps)
+
+
+def test_id_of_an_open_request_is_refused_and_free_again_after_its_answer() -> None:
+    # Sent on, it would have been a second attempt of the request that is open.
+    async def steps(connection: client.ClientConnection, theirs: socket.socket) -> None:
+        decisions, whole = cast(Decisions, connection.service.driver), query()
+        theirs.send(2 * whole)
+        await rest()
+        (context,) = decisions.open.values()
+        context.answer.reject(5)
+        assert context.end()
+        await rest()
+        assert theirs.recv(100) == b"-BUSY 5\r\n-ERR a request of this id is open\r\n"
+        assert not connection.service.ids
+
+    play(steps)
+
+
 class ClientModel(RuleBasedStateMachine):
     """Open, ending (a malformed command, or draining), and ended; answers in the order of commands."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.linger, client.LINGER = client.LINGER, 3600.0  # no step of the model rests on time
+        self.kept = client.LINGER, client.PACE, client.STRIKES  # no step of the model rests on time
+        client.LINGER, client.PACE, client.STRIKES = 3600.0, 0.0, 1000
         self.loop = asyncio.new_event_loop()
         self.decisions = Decisions()
         self.order: deque[list[Any]] = deque()  # [context or None, the answer's bytes or None]
@@ -216,8 +316,9 @@
     @open_now
     @rule(cut=st.integers(1, 80))
     def asks_in_part(self, cut: int) -> None:
-        self.rest = query()[cut:]
-        self.sends(query()[:cut], None, whole=False)
+        whole = query()
+        self.rest = whole[cut:]
+        self.sends(whole[:cut], None, whole=False)
 
     @precondition(lambda self: self.rest and not self.ended and not self.left)
     @rule()
@@ -236,6 +337,10 @@
     @rule(bad=st.sampled_from([
         (b"c=look,t=wide,d=x", b"-ERR d is missing or malformed\r\n"),
         (b"c=look,t=wide,d=0", b"-ERR d is missing or malformed\r\n"),
+        (b"c=look,t=wide,d=9,units=0", b"-ERR units are out of range\r\n"),
+        (b"c=look,t=wide,d=9,spread=2", b"-ERR the customer's set is out of range\r\n"),
+        (b"c=look,t=wide,d=9,first=1", b"-ERR the customer's set is out of range\r\n"),
+        (b"c=look,t=wide,d=9,k=x", b"-ERR k must be 16 hex digits\r\n"),
         (b"c=odd,t=wide,d=9", b"-ERR unknown class\r\n"),
         (b"c=look,t=odd,d=9", b"-ERR unknown plan\r\n"),
         (b"c=note,t=wide,d=9", b"-ERR this class goes by the other command\r\n"),
@@ -298,7 +403,7 @@
             self.do(lambda: self.connection.end("test over"))
             self.theirs.close()
         self.loop.close()
-        client.LINGER = self.linger
+        client.LINGER, client.PACE, client.STRIKES = self.kept
 
 
 TestClientModel = ClientModel.TestCase
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -157,7 +157,7 @@
         program = Program(config.parse(EXAMPLE.read_text(), env))
         program.most_clients = 2
         task = asyncio.create_task(program.run())
-        while not program.removers:
+        while not program.accepting:
             await asyncio.sleep(0)
         clients = []
         for number in range(3):
@@ -166,7 +166,7 @@
             clients.append((reader, writer))
             while number < 2 and sum(one.busy() for one in program.service.connections) <= number:
                 await asyncio.sleep(0)
-        while program.removers:
+        while program.accepting:
             await asyncio.sleep(0)
         assert len(program.service.connections) == 2
         clients[0][1].close()
