End spoilt answers as errors, and let nothing behind an answer reach the next

Lines at fault: upstream.py _read closed as if the till server had died, so control.py judge ejected it, told all peers so and moved what was out there; a part of a reply left in the buffer would have been read as the beginning of the next answer; svc.py ending took a value only with exactly two more items. Also found by reading: UpstreamGroup.servers, Memory.servers, by_tag and asking only ever grew; an alarm for a forgotten server; requests unsent at half their patience went on waiting. A try that has answered rests its connection for 10 ms; half a reply has 250 ms to be whole.

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -90,8 +90,9 @@
             if count >= self.most_clients and not self.service.make_room():
                 log.say("accepting_paused", client_connections=count)
                 self.stop_accepting()
-            elif count >= self.many_clients:
-                self.service.make_room(RESTED)
+
+    def sweep_clients(self) -> None:
+        self.service.sweep(self.many_clients, RESTED)
 
     def resume_accepting(self) -> None:
         if not self.accepting and not self.leaving and len(self.service.connections) < self.most_clients:
@@ -157,7 +158,7 @@
         loop.add_signal_handler(signal.SIGTERM, self.stopped.set)
         loop.add_signal_handler(signal.SIGINT, self.stopped.set)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
-        sweeps = [PeriodicCallback(self.group.sweep, 1000), PeriodicCallback(self.service.sweep, 100)]
+        sweeps = [PeriodicCallback(self.group.sweep, 1000), PeriodicCallback(self.sweep_clients, 100)]
         for sweep in sweeps:
             sweep.start()
         self.watch(self.config.discovery)
--- a/mapleshunt/net/client.py
+++ b/mapleshunt/net/client.py
@@ -71,11 +71,15 @@
             best.end("made_room")
         return best is not None
 
-    def sweep(self) -> None:
-        """End what stands idle, stops in the middle of a command, or does not read its answers."""
+    def sweep(self, many: int, rested: float) -> None:
+        """End what stands idle, stops in the middle of a command, or does not read its answers; and of
+        more than `many` those that have rested.
+        """
         now = asyncio.get_running_loop().time()
         for connection in list(self.connections):
             connection.end_if_overdue(now)
+        while len(self.connections) > many and self.make_room(rested):
+            pass
 
     def drain(self) -> None:
         """From now on a connection is closed as soon as nothing is owed on it."""
--- a/mapleshunt/net/stages/book.py
+++ b/mapleshunt/net/stages/book.py
@@ -25,6 +25,7 @@
             attempt=attempt.number,
             server=attempt.server,
             latency=driver.now() - attempt.sent,
-            cost=ending.cost,
+            # No request counts more than the settings' largest: such a figure is unreadable.
+            cost=ending.cost if ending.cost <= driver.settings.largest else 0.0,
         )
     )
--- a/mapleshunt/net/svc.py
+++ b/mapleshunt/net/svc.py
@@ -102,8 +102,8 @@
 def ending(reply: resp.Reply) -> Ending:
     """How a try ended that a till server replied to. Raises `resp.ProtocolError`."""
     match reply:
-        case [memoryview() as value, figures, _]:
-            return Ending("ok", value, _cost(figures))
+        case [memoryview() as value, *more]:  # whatever the rest is like, the value is good
+            return Ending("ok", value, _cost(more[0] if more else None))
         case resp.ErrorLine(text):
             return Ending("full" if text.split(" ", 1)[0] == "BUSY" else "error")
     raise resp.ProtocolError("a till server's reply has none of the known forms")
--- a/mapleshunt/net/upstream.py
+++ b/mapleshunt/net/upstream.py
@@ -22,6 +22,9 @@
 from .context import Ending
 from .counters import Counters
 
+STALL = 0.25  # s that a reply may stand half read: a till server writes it whole
+SETTLE = 0.01  # s before a connection that has answered carries the next try
+
 
 class NoRoom(Exception):
     """No descriptor is left, or the server is not known: nothing was sent."""
@@ -60,12 +63,13 @@
     """A connection to a till server."""
 
     def __init__(self, server: TillServer, group: UpstreamGroup) -> None:
-        self.server, self.group = server, group
+        self.server, self.member, self.group = server, server.member, group
         self.stream = IOStream(socket.socket(family_of(server.address)), max_buffer_size=4 * resp.MAX_MESSAGE)
         self.buffer = ReadBuffer(resp.MAX_MESSAGE)
         self.waiting: asyncio.Future[Ending] | None = None
         self.tries, self.reason = 0, ""
         self.idle_since = 0.0
+        self.stall: asyncio.TimerHandle | None = None
         self.reader: asyncio.Task[None] | None = None
         group.connections.add(self)
 
@@ -115,28 +119,54 @@
         try:
             while True:
                 await self.buffer.fill(self.stream)
-                while found := resp.parse_reply(self.buffer.data, self.buffer.start, self.buffer.end):
-                    if self.waiting is None or self.waiting.done():
-                        raise resp.ProtocolError("a reply to nothing")
-                    self.buffer.consume(found[1])
-                    self.waiting.set_result(svc.ending(found[0]))
+                self._take_reply()
         except StreamClosedError as closed:
             reason = "server_reset" if closed.real_error else reason
         except (resp.ProtocolError, TooLong) as error:
-            reason = "malformed_reply"
-            self.group.counters.add("malformed_replies")
-            log.say("malformed_reply", server=self.server.member.id, why=error)
+            return self._spoilt(error)
         except Exception:
             reason = "exception"
             self.group.counters.add("exceptions")
             log.trouble("server_connection_exception", server=self.server.member.id)
         self.close(reason)
 
+    def _take_reply(self) -> None:
+        found = resp.parse_reply(self.buffer.data, self.buffer.start, self.buffer.end)
+        if self.waiting is None or self.waiting.done():
+            raise resp.ProtocolError("bytes that belong to no try")
+        if found is None:
+            if self.stall is None:
+                loop = asyncio.get_running_loop()
+                self.stall = loop.call_later(STALL, self._spoilt, "a reply that does not end")
+            return
+        self.buffer.consume(found[1])
+        self._stop_stall()
+        self.waiting.set_result(svc.ending(found[0]))
+        if self.buffer.start != self.buffer.end:  # the answer is good; what follows would spoil the next one
+            raise resp.ProtocolError("bytes behind a reply")
+
+    def _stop_stall(self) -> None:
+        if self.stall is not None:
+            self.stall.cancel()
+            self.stall = None
+
+    def _spoilt(self, why: object) -> None:
+        """What came is no reply: the try may have run, but its till server lives. Nothing more is read here.
+
+        Ended as "reset" it had the decisions take the till server for dead and move all that was out there.
+        """
+        self.group.counters.add("malformed_replies")
+        log.say("malformed_reply", server=self.server.member.id, why=why)
+        if self.waiting is not None and not self.waiting.done():
+            self.waiting.set_result(Ending("error"))
+        self.close("malformed_reply")
+
     def close(self, reason: str) -> None:
         if self not in self.group.connections:
             return
         self.group.connections.discard(self)
         self.reason = reason
+        self._stop_stall()
         if self in self.server.idle:
             self.server.idle.remove(self)
         self.stream.close()
@@ -170,26 +200,32 @@
             server = self.servers.setdefault(member.number, TillServer(member))
             moved = server.member.address != member.address or server.member.started != member.started
             server.member = member
-            if moved or member.state == "gone":
-                self._drop_idle(server, "server_moved" if moved else "server_gone")
-        if kind != "partial":
-            listed = {member.number for member in members}
-            for number, server in self.servers.items():
-                if number not in listed:
-                    self._drop_idle(server, "server_gone")
+            if moved:
+                self._drop_idle(server, "server_moved")
+        listed = {member.number for member in members}
+        for number, server in list(self.servers.items()):
+            if server.member.state == "gone" or (kind != "partial" and number not in listed):
+                self._drop_idle(server, "server_gone")
+                del self.servers[number]  # new ones come under new ids all day
         entries = tuple(i.ServerEntry(m.number, m.zone, m.cell, m.state, m.started) for m in members)
         return i.Members(kind, entries)
 
     # Connections
 
     def idle(self, number: int) -> ServerConnection | None:
-        """An idle connection to a server, the one used last."""
+        """An idle connection to a server, the one used last.
+
+        But for those that have only just answered: what follows right behind an answer would be taken for
+        the next try's.
+        """
         server = self.servers.get(number)
-        while server is not None and server.idle:
-            connection = server.idle.pop()
-            if connection.alive():
-                return connection
-            connection.close("server_closed")
+        settled = asyncio.get_running_loop().time() - SETTLE
+        for connection in reversed(list(server.idle)) if server is not None else ():
+            if connection.idle_since <= settled:
+                if connection.alive():
+                    connection.server.idle.remove(connection)
+                    return connection
+                connection.close("server_closed")
         return None
 
     def connection(self, number: int) -> ServerConnection:
@@ -210,7 +246,13 @@
 
     def release(self, connection: ServerConnection) -> None:
         """A try has ended and its connection may carry the next."""
-        if connection in self.connections:
+        server, member = connection.server, connection.member
+        if connection not in self.connections:
+            return
+        current = self.servers.get(member.number) is server and server.member.address == member.address
+        if not current or server.member.started != member.started:
+            connection.close("server_moved")  # or gone: none that the list does not name is kept
+        else:
             connection.idle_since = asyncio.get_running_loop().time()
             connection.server.idle.append(connection)
 
--- a/mapleshunt/state.py
+++ b/mapleshunt/state.py
@@ -165,6 +165,14 @@
             server.out = self.servers[number].out
         self.servers[number] = self.by_tag[server_tag(number)] = server
 
+    def forget_servers(self) -> None:
+        """Drop servers that are gone, once nothing is out there: all day new ones take their places."""
+        for number, server in list(self.servers.items()):
+            if server.entry.state == "gone" and not server.out:
+                del self.servers[number]
+                if self.by_tag.get(server_tag(number)) is server:
+                    del self.by_tag[server_tag(number)]
+
     def resend(self, job: Job) -> bool:
         job.again = True
         self.again.append(job)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -557,3 +557,32 @@
         if driver.gateway.may_bar(server):
             server.barred = driver.now + 500
     assert sum(s.barred > driver.now for s in driver.gateway.servers.values()) == 2
+
+
+def test_what_is_gone_is_forgotten_once_nothing_is_out_there() -> None:
+    # All day new servers under new ids take the places of old ones: memory grew with each.
+    driver = Driver(servers=1)
+    (send,) = sends(driver.ask())
+    for number in range(1, 40):
+        driver.feed(Members("partial", (ServerEntry(number - 1, state="gone"), ServerEntry(number))))
+    assert set(driver.gateway.servers) == {0, 39}
+    driver.answer(send)
+    driver.feed(Members("partial", ()))
+    assert set(driver.gateway.servers) == {39} and len(driver.gateway.by_tag) == 1
+    driver.wait(10000)  # alarms that name a forgotten server do no harm
+
+
+def test_request_whose_keeper_never_answers_is_not_kept() -> None:
+    driver = Driver(instances=3, peers=True)
+    for number in range(30):
+        driver.ask(plan="thin", customer=f"c{number}", spread=3, units=3)
+        driver.wait(5000)
+    assert not driver.gateway.asking and not driver.gateway.jobs
+
+
+def test_request_that_cannot_be_sent_is_refused_within_half_its_patience() -> None:
+    # One refused later, and never sent, costs a part of its worth on top.
+    driver = Driver(servers=0)
+    driver.ask(patience=1000)
+    got = driver.wait(500)
+    assert [type(action).__name__ for action in got] == ["Refuse"]
