Decide by the slice in time when a quota's keeper does not answer

A temporary line each second counted what refuses: 15 to 300 requests a second at each gateway were refused by finish() at their last moment to be sent, while they waited for the first keeper they had asked; at the time of restarts nearly all. Ruled out: the queue's delay (0 to 32 a second), denials, attempts that failed, the slot bound (slots 10 to 48 with 2 to 15 in use). Lines at fault: control.py admit asked the next keeper only after three mean words and a gap, 400 ms and more of 600; nothing remembered that a keeper owed its word; look() refused what still waited. Change: the next keeper is asked after two mean words; one that owes its word is passed over for a second or until it is heard; what cannot wait for another word is decided by the slice.

--- a/mapleshunt/control.py
+++ b/mapleshunt/control.py
@@ -22,7 +22,8 @@
 RETRY_LEFT = 0.5  # part of the aim that a client's repeat has left: its first try spent the rest
 MAIL_PART = 0.8  # part of a peer's message intake that the few who write to it most may use
 WRITERS = 3  # peers that write to one at full pace; of hundreds most have little to tell
-OVERDUE = 3.0  # mean waits for a keeper's word after which the next one is asked
+OVERDUE = 2.0  # mean waits for a keeper's word after which the next one is asked, or none
+SILENCE = 1000.0  # ms for which a keeper that owes its word is not asked again
 STALE = 2.0  # the others' use that a keeper told counts this many times while its word ages, for bursts
 STIR = 0.25  # part of the rate that others may use though none was told
 HOME_PART = 0.7  # part of a ceiling's rate that the home grants from; even slices share the rest
@@ -81,7 +82,7 @@
         for what, key in self.due(self.now):
             job = self.jobs.get(key) if what in ("sent", "due", "ask") else None
             if job and what == "ask" and not job.granted:
-                self.admit(job)
+                self.overdue(job)
             elif job and ((what == "due" and not job.streaming) or (what == "sent" and not job.attempts)):
                 self.finish(job)
             elif what == "mail":
@@ -107,7 +108,8 @@
             self.jobs[event.ref], customer.open = job, customer.open + 1
             # Unsent after half its patience, it would cost more than one refused before.
             last = self.now + event.patience / 2 - self.margin
-            self.remind(min(aim_at - 1.5 * self.expect(cls), last), "sent", event.ref)
+            job.send_by = min(aim_at - 1.5 * self.expect(cls), last)
+            self.remind(job.send_by, "sent", event.ref)
             self.remind(job.due, "due", event.ref)
             self.admit(job)
 
@@ -151,7 +153,10 @@
 
     def admit(self, job: Job) -> None:
         """Grant or refuse where this view of the store is sound, else ask home and deputy; then the slice."""
-        c, plan, units, asks = job.customer, job.customer.plan, job.units, job.asks
+        c, plan, units = job.customer, job.customer.plan, job.units
+        while job.asks < len(c.keepers) and self.silent(c.keepers[job.asks]):
+            job.asks += 1
+        asks = job.asks
         alone = not self.set.peers or asks == len(c.keepers) or c.keepers[asks] == self.set.me
         view, ceiling = c.store.fill(self.now), c.ceiling.fill(self.now) if plan.ceiling_rate else math.inf
         if alone and c.keepers[0] != self.set.me:
@@ -169,7 +174,24 @@
             self.asking[number := job.ref % NUMBERS] = job
             self.tell(c.keepers[asks], Line("ask", c.tag, number, units, view / plan.burst, c.code))
             job.asks, job.asked_at = asks + 1, self.now
-            self.remind(self.now + OVERDUE * self.word_ms + self.gap, "ask", job.ref)
+            self.owing.setdefault(c.keepers[asks], self.now)
+            self.remind(min(self.now + OVERDUE * self.word_ms, job.send_by - 1), "ask", job.ref)
+
+    def overdue(self, job: Job) -> None:
+        """A keeper's word has not come: ask the next one, or decide by the slice if no time is left for it.
+
+        It was refused when the time to send it came, on every message that was lost and every restart.
+        """
+        if self.now + OVERDUE * self.word_ms > job.send_by:
+            job.asks = len(job.customer.keepers)
+        self.admit(job)
+
+    def silent(self, keeper: int) -> bool:
+        """Has it owed a word for longer than one takes? It is asked again now and then."""
+        since = self.now - self.owing.get(keeper, self.now)
+        if since > SILENCE:
+            del self.owing[keeper]
+        return OVERDUE * self.word_ms < since <= SILENCE
 
     def grant(self, job: Job) -> None:
         c, job.granted, self.queued = job.customer, True, self.queued + 1
@@ -195,6 +217,7 @@
     def listen(self, event: i.PeerMessage) -> None:
         if (report := decode(event.data)) is None or not 0 <= event.sender < self.set.instances:
             return
+        self.owing.pop(event.sender, None)
         self.pace += SMOOTH / 2 * (report.pace - self.pace)  # few answers here, many at all gateways together
         for tag, pace in report.words:
             if (server := self.by_tag.get(tag)) is not None and pace < SILENT:
--- a/mapleshunt/state.py
+++ b/mapleshunt/state.py
@@ -87,6 +87,7 @@
     units: float
     aim_at: float
     due: float
+    send_by: float = 0.0  # if it is not sent by then it is refused
     attempts: list[Attempt] = field(default_factory=list)
     asks: int = 0  # how often a keeper of its quota was asked
     asked_at: float = 0.0
@@ -123,6 +124,7 @@
         self.mail: dict[int, list[Line]] = {}  # what waits to be told to a peer
         self.answers: list[tuple[int, float]] = []  # the last two, to be told: server, answer time over aim
         self.spoke: dict[int, float] = {}  # when a peer was last told
+        self.owing: dict[int, float] = {}  # keepers that were asked and not heard since: from when on
         self.jobs: dict[int, Job] = {}  # requests that are owed an answer
         self.asking: dict[int, Job] = {}  # by number: those that wait for the word of their quota's keeper
         self.again: deque[Job] = deque()  # those that wait for a further attempt
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -586,3 +586,39 @@
     driver.ask(patience=1000)
     got = driver.wait(500)
     assert [type(action).__name__ for action in got] == ["Refuse"]
+
+
+def unsure(driver: Driver, number: int) -> list[Tell]:
+    """A request whose customer's store the gateway does not know well enough; the asks it leads to."""
+    got = driver.ask(plan="thin", customer=f"c{number}", spread=3, units=3)
+    return [one for one in [*got, *driver.wait(30)] if isinstance(one, Tell) and "ask" in kinds(one)]
+
+
+def kinds(tell: Tell) -> list[str]:
+    report = decode(tell.data)
+    return [line.kind for line in report.lines] if report else []
+
+
+def test_request_is_decided_by_the_slice_in_time_when_no_keeper_answers() -> None:
+    # Each message lost, and each restart of a keeper, had requests refused that the quota had room for.
+    driver = Driver(instances=3, peers=True, largest=8)
+    for number in range(60):
+        if unsure(driver, number):
+            break
+    got = driver.wait(900)
+    assert [one.ref for one in got if isinstance(one, Send | Refuse)] == [driver.ref]
+    assert driver.gateway.owing
+
+
+def test_keeper_that_owes_its_word_is_passed_over_until_it_is_heard_or_a_second_is_over() -> None:
+    driver = Driver(instances=3, peers=True, largest=8)
+    gateway = driver.gateway
+    gateway.owing[1] = driver.now
+    assert not gateway.silent(1) and not gateway.silent(2)
+    driver.wait(2 * gateway.word_ms + 1)
+    driver.feed(ClientGone(999))  # time is what the last event brought
+    assert gateway.silent(1)
+    driver.feed(PeerMessage(1, encode(0.1)))
+    assert not gateway.silent(1)
+    gateway.owing[1] = driver.now - 1001
+    assert not gateway.silent(1) and 1 not in gateway.owing
