Distrust connections that end without a word; eject a server for two broken ones

Temporary log lines showed seven of ten servers ejected at once, with fails=3, while others answered on them. Ruled out: the quota's keepers (0 to 7 of 80 refusals a second), CPU (0.2 of a core), dead servers. Lines at fault: control.py judge ejected for one reset, told all peers so and moved what was out; upstream.py idle() took any connection whose end could not be seen, and no reset taught it otherwise. Change: a kept connection that is reset within 20 ms of the next try halves the time for which idle ones are used again, which doubles every 5 s; a server is ejected when a second connection breaks before it has answered.

--- a/mapleshunt/control.py
+++ b/mapleshunt/control.py
@@ -420,12 +420,16 @@
 
     def judge(self, server: Server, event: i.Outcome) -> None:
         if event.status in ("ok", "error", "full"):
+            server.broken = 0
             if server.fails:
                 server.barred = 0.0
                 self.say(server, server.pace)
             server.answered, server.fails = self.now, 0
         elif event.status in ("unreachable", "reset"):
-            self.eject(server)
+            # One connection may break though its server lives; where that dies, others break or are refused.
+            server.broken += 1
+            if server.broken > 1:
+                self.eject(server)
         if event.status == "full":
             server.barred = self.now + self.answer  # nothing new until its queue had time to shrink
             self.shrink()
--- a/mapleshunt/net/upstream.py
+++ b/mapleshunt/net/upstream.py
@@ -24,6 +24,11 @@
 
 STALL = 0.25  # s that a reply may stand half read: a till server writes it whole
 SETTLE = 0.01  # s before a connection that has answered carries the next try
+AT_ONCE = 0.02  # s: a kept connection that is reset so soon under a try had ended before
+REGAIN = 5.0  # s in which the time that a connection may stand idle and be used again doubles
+
+
+ENDED = "server_closed", "server_reset"  # by the till server
 
 
 class NoRoom(Exception):
@@ -104,12 +109,15 @@
         """Write a command and wait for how it ends. Raises `ConnectionLost`."""
         if self.stream.closed():
             raise ConnectionLost(written=False)
-        self.waiting = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        self.waiting, begun = loop.create_future(), loop.time()
         self.tries += 1
         written = self.stream.write(data)
         try:
             return await self.waiting
         except StreamClosedError:
+            if self.reason in ENDED and self.tries > 1 and loop.time() - begun < AT_ONCE:
+                self.group.distrust(begun - self.idle_since)
             raise ConnectionLost(written.done() and written.exception() is None) from None
         finally:
             self.waiting = None
@@ -191,6 +199,7 @@
         self.dial_timeout, self.idle_limit = dial_timeout, idle_limit  # ms
         self.servers: dict[int, TillServer] = {}
         self.connections: set[ServerConnection] = set()
+        self.trust, self.trust_at = idle_limit / 1000, 0.0  # s of idleness after which one is used again
 
     # Members
 
@@ -219,9 +228,10 @@
         the next try's.
         """
         server = self.servers.get(number)
-        settled = asyncio.get_running_loop().time() - SETTLE
+        now = asyncio.get_running_loop().time()
+        oldest = now - self.trusted(now)
         for connection in reversed(list(server.idle)) if server is not None else ():
-            if connection.idle_since <= settled:
+            if oldest <= connection.idle_since <= now - SETTLE:
                 if connection.alive():
                     connection.server.idle.remove(connection)
                     return connection
@@ -256,9 +266,25 @@
             connection.idle_since = asyncio.get_running_loop().time()
             connection.server.idle.append(connection)
 
+    def trusted(self, now: float) -> float:
+        """s for which an idle connection is taken to stand at the till server too."""
+        grown = self.trust * 2 ** min(60.0, (now - self.trust_at) / REGAIN)
+        return min(self.idle_limit / 1000, grown)
+
+    def distrust(self, idle: float) -> None:
+        """One that stood idle for so long was reset by the next try, which may have run for all we know.
+
+        Till servers may end connections without a word and sooner than the settings say. Dialling anew
+        costs far less than such a try.
+        """
+        now = asyncio.get_running_loop().time()
+        self.counters.add("stale_connections")
+        self.trust, self.trust_at = max(SETTLE, min(self.trusted(now), idle) / 2), now
+
     def sweep(self) -> None:
         """Close what has been idle for long, well before the till server does."""
-        oldest = asyncio.get_running_loop().time() - self.idle_limit / 1000
+        now = asyncio.get_running_loop().time()
+        oldest = now - self.trusted(now)
         for connection in [c for s in self.servers.values() for c in s.idle if c.idle_since < oldest]:
             connection.close("idle")
 
--- a/mapleshunt/state.py
+++ b/mapleshunt/state.py
@@ -106,6 +106,7 @@
     allowance: Bucket  # attempts a cold server may be sent now
     out: dict[tuple[int, int], float] = field(default_factory=dict)  # when each open attempt was sent
     watched: bool = False  # an alarm looks at it
+    broken: int = 0  # connections that broke or never came up, since its last answer
     fails: int = 0  # ejections since its last answer
     barred: float = 0.0  # ejected until then
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -622,3 +622,20 @@
     assert not gateway.silent(1)
     gateway.owing[1] = driver.now - 1001
     assert not gateway.silent(1) and 1 not in gateway.owing
+
+
+def test_one_broken_connection_does_not_eject_its_server_and_a_second_does() -> None:
+    # Where till servers end single connections, most of the fleet was ejected most of the time.
+    driver = Driver(servers=2)
+    (first,) = sends(driver.ask())
+    server = driver.gateway.servers[first.server]
+    (again,) = sends(driver.answer(first, "reset"))
+    assert not server.fails and again.ref == first.ref
+    driver.answer(Send(first.ref, again.server), "ok", attempt=1)
+    while not server.fails:
+        (send,) = sends(driver.ask())
+        if send.server == first.server:
+            driver.answer(send, "unreachable")
+        else:
+            driver.answer(send)
+    assert server.broken == 2
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -222,6 +222,35 @@
     assert play(steps) == [Ending("error")]
 
 
+def test_connections_that_end_without_a_word_are_trusted_for_a_shorter_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Each try on one of them ended as reset: it may have run, and its till server was held for dead.
+    monkeypatch.setattr(upstream, "AT_ONCE", 10.0)
+
+    async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
+        _, task = attempt_at(group, number)
+        with await accept(listener) as server:
+            await taken(server)
+            server.send(GOOD)
+            endings = [await task]
+            await asyncio.sleep(2 * upstream.SETTLE)
+            _, task = attempt_at(group, number)
+            await taken(server)
+        endings.append(await task)
+        now = asyncio.get_running_loop().time()
+        assert upstream.SETTLE <= group.trusted(now) < 1.0  # it had stood idle for less than a second
+        assert group.trusted(now + 100 * upstream.REGAIN) == group.idle_limit / 1000
+        connection = group.connection(number)
+        with await accept_while(connection.connect(), listener):
+            group.release(connection)
+            connection.idle_since -= 5.0
+            assert group.idle(number) is None
+        return endings
+
+    assert [one.status for one in play(steps)] == ["ok", "reset"]
+
+
 def test_servers_that_are_gone_are_forgotten_and_their_connections_end() -> None:
     async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
         connection = group.connection(number)
