Find a silent discovery watch within 1.5 s

Ruled out: the decisions' list (revision 0 was the last that had come), connections, descriptors. Line at fault: discovery.py let a watch wait for 20 s, so that its silence was found a second later than that. Change: a watch waits for 1 s and counts as silent half a second later.

--- a/mapleshunt/net/discovery.py
+++ b/mapleshunt/net/discovery.py
@@ -20,8 +20,8 @@
 from .upstream import Member
 
 PATH = "/catalog/members"
-WAIT = 20000  # ms that a watch waits for something new
-SILENCE = 1000  # ms past a call's own wait after which the agent counts as gone
+WAIT = 1000  # ms that a watch waits for something new: one that falls silent is found soon after
+SILENCE = 500  # ms past a call's own wait after which the agent counts as gone
 LIST_LIMIT = 3000  # ms within which the whole list must come
 PAUSE = 100  # ms before the next call after a failed one: a watch goes on if it comes within 200
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,7 +6,7 @@
 import json
 
 from mapleshunt.net.counters import Counters
-from mapleshunt.net.discovery import Discovery, MemberList
+from mapleshunt.net.discovery import SILENCE, WAIT, Discovery, MemberList
 
 
 def answer(revision: int, complete: bool, status: bytes = b"200 OK") -> bytes:
@@ -56,6 +56,12 @@
     asyncio.run(run())
     assert [(one.revision, one.complete) for one in told] == [
         (41, True), (43, False), (44, False), (45, False), (46, False), (50, True)]
-    whole, watch = "/catalog/members", "/catalog/members?index={}&wait=20000"
+    whole, watch = "/catalog/members", f"/catalog/members?index={{}}&wait={WAIT}"
     # After silence or an end the watch goes on from the revision held; after a refusal with the whole list.
     assert asked[:10] == [whole, *(watch.format(n) for n in (41, 43, 43, 44, 44, 45, 45, 46)), whole]
+
+
+def test_watch_that_falls_silent_is_found_before_what_it_had_to_tell_counts_as_told() -> None:
+    # It was found after 21 s; for all that time draining servers were asked, and new ones were not.
+    assert WAIT + SILENCE <= 2000
+    assert Discovery(("", 0), lambda found: None, Counters()).watch_limit == (WAIT + SILENCE) / 1000
