--- a/mapleshunt/net/upstream.py
+++ b/mapleshunt/net/upstream.py
@@ -22,7 +22,7 @@
 from .context import Ending
 from .counters import Counters
 
-STALL = 0.1  # s that a reply may stand half read: a till server writes it at once, and the rest is there in 1 ms
+STALL = 0.1  # s that a reply may stand half read: a till server writes it whole, within 1 ms
 SETTLE = 0.01  # s before a connection that has answered carries the next try
 AT_ONCE = 0.02  # s: a kept connection that is reset so soon under a try had ended before
 REGAIN = 5.0  # s in which the time that a connection may stand idle and be used again doubles
