--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -15,8 +15,8 @@
 from tornado.netutil import bind_sockets
 
 from . import interface as i
-from .net import client, log
-from .net.config import Address, Config, ConfigError, load, reload
+from .net import client, log, resp
+from .net.config import Address, Config, ConfigError, load, reload, text_of
 from .net.counters import Counters
 from .net.discovery import Discovery, MemberList, member_list
 from .net.driver import Driver
@@ -51,6 +51,8 @@
         self.leaving = False
         self.listeners: list[socket.socket] = []
         self.accepting = False
+        # A client that does not read may make the gateway hold this much: no more than a part of its memory.
+        self.most_unwritten = min(client.MOST_UNWRITTEN, max(4 * resp.MAX_VALUE, config.memory // 64))
         self.service.ended = self.resume_accepting
 
     def ready(self) -> bool:
@@ -85,7 +87,7 @@
                 log.say("accept_failed", why=error)
                 return
             connection.setblocking(False)
-            self.service.serve(IOStream(connection, max_write_buffer_size=client.MOST_UNWRITTEN))
+            self.service.serve(IOStream(connection, max_write_buffer_size=self.most_unwritten))
             count = len(self.service.connections)
             if count >= self.most_clients and not self.service.make_room():
                 log.say("accepting_paused", client_connections=count)
@@ -147,7 +149,7 @@
             log.say("reload_failed", why=error)
             return
         self.counters.add("reloads")
-        log.say("reloaded", discovery=config.discovery, counter=config.counter)
+        log.say("reloaded", discovery=text_of(config.discovery), counter=text_of(config.counter))
         self.config = config
         self.watch(config.discovery)
 
--- a/mapleshunt/net/config.py
+++ b/mapleshunt/net/config.py
@@ -26,6 +26,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory: int  # bytes
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -44,6 +45,10 @@
     return host.strip("[]"), int(port)
 
 
+def text_of(where: Address | None) -> str:
+    return f"{where[0]}:{where[1]}" if where else "none"
+
+
 def family_of(where: Address) -> socket.AddressFamily:
     return socket.AF_INET6 if ":" in where[0] else socket.AF_INET
 
@@ -69,13 +74,15 @@
         peers = tuple(address(peer, "peers") for peer in raw.get("peers") or ())
         if settings.peers and len(peers) != settings.instances:
             raise ConfigError(f"peers must name {settings.instances} gateways, not {len(peers)}")
+        allowed = raw.get("limits") or {}
         together = settings.peers and settings.instances > 1
         return Config(
             name=env.get("PROXY_NAME") or str(raw["name"]),
             listen=address(env.get("PROXY_LISTEN") or raw["listen"], "listen"),
             discovery=address(env.get("PROXY_DISCOVERY") or raw["discovery"], "discovery"),
             seed=_seed(raw.get("seed") or "0"),
-            sockets=int((raw.get("limits") or {}).get("sockets") or 1024),
+            sockets=int(allowed.get("sockets") or 1024),
+            memory=int(float(allowed.get("memory_mb") or 192) * (1 << 20)),
             peer_listen=address(raw["peer_listen"], "peer_listen") if together else None,
             peers=peers,
             peers_all=address(raw["peers_all"], "peers_all") if together else None,
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -115,7 +115,7 @@
         assert "not JSON" in logged("reload_failed")
         write(agents[1])
         process.send_signal(signal.SIGHUP)
-        assert agents[1].split(":")[1] in logged("reloaded")
+        assert f"discovery={agents[1]} counter=none" in logged("reloaded")
         assert "kind=complete" in logged("members")
         client.sendall(query(1))
         assert isinstance(replies(client, 1)[0], memoryview)
@@ -180,6 +180,19 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize(("memory_mb", "sockets"), [(32, 256), (192, 1024)])
+def test_what_clients_may_hold_follows_the_limits_of_the_configuration(memory_mb: int, sockets: int) -> None:
+    # A constant of 2 MB for each client that does not read passed 32 MB with sixteen of them.
+    text = {**json.loads(EXAMPLE.read_text()), "limits": {"memory_mb": memory_mb, "sockets": sockets}}
+
+    async def run() -> Program:
+        return Program(config.parse(json.dumps(text), {}))
+
+    program = asyncio.run(run())
+    assert 4 * resp.MAX_VALUE <= program.most_unwritten <= memory_mb * (1 << 20) // 32
+    assert sockets // 3 < program.most_clients < 0.6 * sockets and program.many_clients < sockets // 3
+
+
 def test_no_configuration_is_told(monkeypatch: pytest.MonkeyPatch) -> None:
     with pytest.raises(config.ConfigError, match="PROXY_CONFIG"):
         config.load({})
