--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -639,3 +639,9 @@
         else:
             driver.answer(send)
     assert server.broken == 2
+
+
+def test_gateways_use_nearly_all_of_what_their_peers_take_in_and_no_more() -> None:
+    # With a fifth of it unused, words on quotas came later, and more was used beyond them.
+    gateway = Driver(instances=4, peers=True, mail_per_s=40).gateway
+    assert 0.9 * 40 < 3 * 1000 / gateway.gap < 40
