--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import contextlib
 import signal
@@ -205,13 +204,8 @@
     await Program(config).run()
 
 
-def main() -> int:
-    argparse.ArgumentParser(
-        prog="mapleshunt",
-        description="A request gateway that keeps quotas. PROXY_CONFIG names its configuration file.",
-        epilog="SIGHUP reads the configuration's addresses anew; SIGUSR1 prints the counters; "
-        "SIGTERM ends it once all it has taken is answered.",
-    ).parse_args()
+def daemon() -> int:
+    """Run the gateway until it is told to end; its exit status."""
     log.set_up()
     try:
         config = load()
@@ -222,5 +216,17 @@
     return 0
 
 
+def main() -> int:
+    """The gateway; with arguments, the command line, whose libraries the gateway does without."""
+    if len(sys.argv) > 1:
+        try:
+            from .cli import main as command
+        except ModuleNotFoundError as error:
+            print(f"mapleshunt: the commands need the extra 'tools' ({error})", file=sys.stderr)
+            return 2
+        return command()
+    return daemon()
+
+
 if __name__ == "__main__":
     raise SystemExit(main())
--- /dev/null
+++ b/mapleshunt/cli/model.py
@@ -0,0 +1,258 @@
+"""`mapleshunt model ...`: the fleet in virtual time."""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Any
+
+import click
+
+from .output import Trouble, json_option, print_json, progress, table
+
+
+@click.group()
+def model() -> None:
+    """Try a setting or a version on a model of the fleet."""
+
+
+def sizes(command: Any) -> Any:
+    for name, kind, text in (
+        ("--seconds", float, "Length of the day."),
+        ("--rate", float, "Requests a second inside the quotas; else by the scenario's load."),
+        ("--servers", click.IntRange(1), "Till servers."),
+        ("--gateways", click.IntRange(1), "Gateways."),
+    ):
+        command = click.option(name, type=kind, help=text)(command)
+    return command
+
+
+def pools(command: Any) -> Any:
+    command = click.option(
+        "--backend", default=None, help="joblib's backend (loky, multiprocessing, threading)."
+    )(command)
+    return click.option("--jobs", default=-1, show_default=True, help="Processes; -1: one a core.")(command)
+
+
+@contextmanager
+def _pool(backend: str | None) -> Any:
+    from joblib import parallel_config
+
+    if backend is None:
+        yield
+        return
+    try:
+        with parallel_config(backend=backend):
+            yield
+    except ValueError as error:
+        raise Trouble(str(error)) from None
+
+
+def _scenario(
+    name: str, gateways: int | None, servers: int | None, rate: float | None, seconds: float | None
+) -> Any:
+    from ..model.day import sized
+    from ..model.scenarios import scenario_of
+
+    try:
+        return sized(scenario_of(name), gateways, servers, rate, seconds)
+    except ValueError as error:
+        raise Trouble(str(error)) from None
+
+
+def _variant(text: str) -> Any:
+    from ..model.variants import parse
+
+    try:
+        return parse(text)
+    except ValueError as error:
+        raise Trouble(str(error)) from None
+
+
+@model.command("scenarios")
+@json_option
+def list_scenarios(as_json: bool) -> None:
+    """The built-in scenarios."""
+    from ..model.scenarios import SCENARIOS
+
+    if as_json:
+        print_json({name: one.about for name, one in SCENARIOS.items()})
+    else:
+        table(["scenario", "what it is"], [[name, one.about] for name, one in SCENARIOS.items()])
+
+
+@model.command()
+@click.argument("scenario")
+@click.option("--seed", default=1, show_default=True, type=click.IntRange(0), help="Draws the day.")
+@click.option(
+    "--variant", default="here", show_default=True, help="here, path:DIR, policy:NAME or set:KEY=VALUE,..."
+)
+@sizes
+@json_option
+def run(
+    scenario: str,
+    seed: int,
+    variant: str,
+    gateways: int | None,
+    servers: int | None,
+    rate: float | None,
+    seconds: float | None,
+    as_json: bool,
+) -> None:
+    """Play one day of a scenario."""
+    from ..model.experiments import play
+
+    chosen, day = _variant(variant), _scenario(scenario, gateways, servers, rate, seconds)
+    try:
+        found = play(day, seed, chosen)
+    except Exception as error:
+        raise Trouble(f"the variant {variant!r} failed: {type(error).__name__}: {error}") from None
+    if as_json:
+        print_json(found.as_dict())
+        return
+    table(["figure", "value"], [
+        ["service", found.service], ["whole day", found.whole], ["worst 10 s", found.worst_window],
+        ["worst plan", found.worst_plan], *[[f"penalty, {k}", v] for k, v in found.penalties.items()],
+        *[[f"broken rule, {k}", v] for k, v in found.rules.items()],
+        ["first tries", found.requests], ["tries", found.tries], ["served", found.served],
+        ["refused", found.refused], ["failed", found.failed], ["median answer, ms", found.p50_ms],
+        ["99th percentile, ms", found.p99_ms], ["events", found.events], ["wall time, s", found.wall_s],
+        ["CPU of the gateways, s", found.gateway_cpu_s], ["CPU of the model, s", found.model_cpu_s],
+    ])  # fmt: skip
+    for story in found.stories:
+        click.echo(f"broken: {story}")
+
+
+@model.command()
+@click.argument("scenario")
+@click.option("--a", "a", default="here", show_default=True, help="The first variant.")
+@click.option("--b", "b", required=True, help="The second.")
+@click.option("--seeds", default=10, show_default=True, type=click.IntRange(1), help="Days that both play.")
+@click.option("--first-seed", default=1, show_default=True, type=click.IntRange(0))
+@click.option("--plot", type=click.Path(dir_okay=False, path_type=Path), help="A picture of the differences.")
+@sizes
+@pools
+@json_option
+def compare(
+    scenario: str,
+    a: str,
+    b: str,
+    seeds: int,
+    first_seed: int,
+    plot: Path | None,
+    gateways: int | None,
+    servers: int | None,
+    rate: float | None,
+    seconds: float | None,
+    jobs: int,
+    backend: str | None,
+    as_json: bool,
+) -> None:
+    """Two variants over the same days: the difference with its interval."""
+    from ..model.experiments import compare as compare_variants
+
+    one, other = _variant(a), _variant(b)
+    day = _scenario(scenario, gateways, servers, rate, seconds)
+    with progress(2 * seeds, scenario) as step, _pool(backend):
+        found = compare_variants(day, one, other, range(first_seed, first_seed + seeds), jobs, step)
+    if plot is not None and found.difference:
+        from ..model import plots
+
+        plots.comparison(found, (a, b), f"{scenario}, {seeds} days", plot)
+    if as_json:
+        print_json(found.as_dict())
+    else:
+        rows = [
+            [key, found.a[key].mean, found.b[key].mean, row.mean, row.low, row.high]
+            for key, row in found.difference.items()
+            if found.a[key].mean or found.b[key].mean
+        ]
+        table(["figure", "a", "b", "b less a", "low", "high"], rows)
+        words = {"a": f"a ({a}) serves more", "b": f"b ({b}) serves more", "none": "no difference shown"}
+        click.echo(f"service: {words[found.verdict]} (95% interval of paired differences, Student's t)")
+        for name, errors in found.errors.items():
+            click.echo(f"{name} failed on {len(errors)} of {seeds} days: {errors[0]}")
+    if not found.difference:
+        raise Trouble("no day was played by both variants")
+
+
+@model.command()
+@click.argument("scenario")
+@click.option("--over", required=True, multiple=True, help="KEY=VALUE,VALUE,...; twice for two settings.")
+@click.option("--seeds", default=6, show_default=True, type=click.IntRange(1))
+@click.option("--figure", default="service", show_default=True, help="What the plot shows.")
+@click.option("--plot", type=click.Path(dir_okay=False, path_type=Path))
+@sizes
+@pools
+@json_option
+def sweep(
+    scenario: str,
+    over: tuple[str, ...],
+    seeds: int,
+    figure: str,
+    plot: Path | None,
+    gateways: int | None,
+    servers: int | None,
+    rate: float | None,
+    seconds: float | None,
+    jobs: int,
+    backend: str | None,
+    as_json: bool,
+) -> None:
+    """A figure over the values of one or two settings."""
+    from ..model.experiments import finite
+    from ..model.experiments import sweep as sweep_settings
+    from ..model.variants import pair
+
+    if len(over) > 2:
+        raise Trouble("a sweep goes over one or two settings")
+    values: dict[str, list[Any]] = {}
+    for one in over:
+        key, _, rest = one.partition("=")
+        try:
+            values[key] = [pair(f"{key}={value}")[1] for value in rest.split(",")]
+        except ValueError as error:
+            raise Trouble(str(error)) from None
+    day = _scenario(scenario, gateways, servers, rate, seconds)
+    total = seeds
+    for held in values.values():
+        total *= len(held)
+    with progress(total, scenario) as step, _pool(backend):
+        points = sweep_settings(day, values, range(1, seeds + 1), jobs, step)
+    if (
+        points
+        and any(p.figures for p in points)
+        and figure not in next(p.figures for p in points if p.figures)
+    ):
+        raise Trouble(f"{figure!r} is no figure")
+    if plot is not None:
+        from ..model import plots
+
+        plots.sweep(points, figure, f"{scenario}, {seeds} days a point", plot)
+    if as_json:
+        print_json(
+            [
+                {
+                    "at": p.at,
+                    "errors": p.errors,
+                    "figures": {
+                        name: {k: finite(v) for k, v in one.as_dict().items()}
+                        for name, one in p.figures.items()
+                    },
+                }
+                for p in points
+            ]
+        )
+        return
+    rows = [
+        [
+            *(p.at[key] for key in values),
+            p.figures[figure].mean,
+            p.figures[figure].low,
+            p.figures[figure].high,
+            len(p.errors),
+        ]
+        for p in points
+        if figure in p.figures
+    ]
+    table([*values, figure, "low", "high", "failed"], rows)
--- /dev/null
+++ b/mapleshunt/model/day.py
@@ -0,0 +1,139 @@
+"""A day to be played: a scenario drawn with a seed. The same seed gives every variant the same day."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+from .. import interface as i
+from ..world import clients, faults, figures
+from ..world.chance import Rng, Streams
+from ..world.clients import Traffic
+from ..world.faults import Fault
+from ..world.figures import Figures
+
+Troubles = Callable[[Rng, "Scenario"], list[Fault]]
+
+
+@dataclass(slots=True, frozen=True)
+class Scenario:
+    """What is played: sizes, load and troubles. `load`: use inside quotas over what the fleet can do."""
+
+    name: str
+    about: str
+    load: tuple[float, float]
+    troubles: Troubles = field(default=lambda rng, scenario: [])
+    gateways: int = 3
+    servers: int = 14
+    seconds: float = 30.0
+    rate: float | None = None  # requests a second inside quotas, in place of `load`
+    fixed: Mapping[str, float] = field(default_factory=dict)  # figures
+    spans: Mapping[str, figures.Span] = field(default_factory=dict)
+    settings: Mapping[str, Any] = field(default_factory=dict)  # of the gateways
+    traffic: Callable[[Figures, Scenario, tuple[Fault, ...], Streams], Traffic] | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Rules:
+    """Figures of the rules; times in ms."""
+
+    answer_slack: float = 8.0
+    drain_grace: float = 500.0
+    fall_multiple: float = 4.0
+    tip_after: float = 1000.0
+
+
+CLASSES: dict[str, dict[str, Any]] = {
+    "price-lookup": {"aim": 1000.0, "deadline": 3000.0},
+    "basket-total": {"aim": 1000.0, "deadline": 3000.0},
+    "sale-close": {"aim": 1500.0, "deadline": 4000.0, "effect": "keyed", "group": "cell", "window": 4000.0},
+}
+PLATFORM: dict[str, Any] = {
+    "zone": "jkt-dc1", "tick": 2.0, "max_attempts": 6, "max_retry_after": 500.0, "retry_after": True,
+    "second_copies": False, "can_cancel": True, "peers": True, "mail_per_s": 40.0, "settles": True,
+    "largest": 8.0, "cold_from": 0.25, "cold": 15000.0, "tip_after": 1000.0,
+}  # fmt: skip
+
+
+@dataclass(slots=True, frozen=True)
+class Day:
+    """A scenario with everything drawn that is not the gateways' to decide."""
+
+    scenario: Scenario
+    seed: int
+    streams: Streams
+    figures: Figures
+    traffic: Traffic
+    faults: tuple[Fault, ...]
+    rules: Rules = Rules()
+
+    @property
+    def length(self) -> float:
+        return 1000 * self.scenario.seconds
+
+    def settings(self, words: Any = i) -> list[Any]:
+        """The settings of each gateway, in the types of `words` (a version's own `interface`)."""
+        chosen = {**PLATFORM, **self.scenario.settings}
+        plan_changes = {name: chosen.pop(name) for name in list(chosen) if name.startswith("plan.")}
+        known = {name for name in words.Settings.__dataclass_fields__}
+        classes = {name: words.RequestClass(name=name, **figures) for name, figures in CLASSES.items()}
+        plans = {}
+        for shape in self.figures.plans:
+            held = {"rate": shape.rate, "burst": shape.burst}
+            for name, value in plan_changes.items():
+                _, plan, part = name.split(".", 2)
+                if plan == shape.name:
+                    held[part] = value
+            plans[shape.name] = words.Plan(shape.name, **held)
+        chosen = {name: value for name, value in chosen.items() if name in known}
+        return [
+            words.Settings(me=me, instances=self.scenario.gateways, classes=classes, plans=plans, **chosen)
+            for me in range(self.scenario.gateways)
+        ]
+
+
+def capacity(drawn: Figures, servers: int) -> float:
+    """Work that warm servers do, in ms of a standard core a second."""
+    return 1000 * servers * drawn["cores"] * drawn["speed"]
+
+
+def day_of(scenario: Scenario, seed: int) -> Day:
+    """Draw a day. Raises `UnknownFigure`."""
+    streams = Streams(seed)
+    drawn = figures.draw(streams.of("figures"), scenario.fixed, scenario.spans)
+    load = float(streams.of("load").uniform(*scenario.load))
+    rate = scenario.rate
+    if rate is None:
+        rate = load * capacity(drawn, scenario.servers) / clients.mean_work(drawn)
+    troubles = faults.in_order(scenario.troubles(streams.of("troubles"), scenario))
+    if scenario.traffic is not None:
+        asked = scenario.traffic(drawn, scenario, troubles, streams)
+    else:
+        asked = clients.traffic(
+            drawn,
+            scenario.gateways,
+            rate * clients.mean_units(drawn),
+            1000 * scenario.seconds,
+            troubles,
+            streams,
+        )
+    return Day(scenario, seed, streams, drawn, asked, troubles)
+
+
+def sized(
+    scenario: Scenario,
+    gateways: int | None = None,
+    servers: int | None = None,
+    rate: float | None = None,
+    seconds: float | None = None,
+) -> Scenario:
+    """The scenario at other sizes. Raises ValueError for sizes that make none."""
+    for name, value in (("gateways", gateways), ("servers", servers), ("rate", rate), ("seconds", seconds)):
+        if value is not None and not (value > 0 and math.isfinite(value)):
+            raise ValueError(f"{name} must be above 0, not {value:g}")
+    return replace(
+        scenario, gateways=gateways or scenario.gateways, servers=servers or scenario.servers,
+        rate=rate if rate is not None else scenario.rate, seconds=seconds or scenario.seconds,
+    )  # fmt: skip
--- /dev/null
+++ b/mapleshunt/model/engine.py
@@ -0,0 +1,656 @@
+"""The engine: gateways, till servers, clients and what lies between them, in virtual time.
+
+Everything that is decided comes from `gateway.handle`; everything that happens comes from the world. The
+engine only carries one to the other, and keeps the record of what crossed.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+from .. import interface
+from ..world.chance import Draws, lognormal
+from ..world.clients import Habits
+from ..world.counter import Counter
+from ..world.discovery import Discovery, Entry
+from ..world.faults import Fault
+from ..world.network import Intake, Network
+from ..world.quota import Store
+from ..world.till import Cell, TillServer, Work
+from .agenda import Agenda
+from .day import CLASSES, Day
+from .record import AskRecord, AttemptRecord, Final, TryRecord
+from .rules import Watchman
+
+NOISE = 4096  # places of the table of attempt noise
+AFTER_TERM = 300.0  # ms after SIGTERM for which the front still sends to a gateway
+
+
+class Decisions(Protocol):
+    """What the engine asks of a gateway: the decision module has it, and so do the plain policies."""
+
+    def start(self) -> Iterable[Any]: ...
+
+    def handle(self, now: float, event: Any) -> Iterable[Any]: ...
+
+
+# Called with settings, seed, the time (ms), and the gateway's own view of nothing else.
+Factory = Callable[[Any, int, float], Decisions]
+
+
+class Engine:
+    """Plays one day with one kind of gateway. `words` holds the types that the gateways speak."""
+
+    def __init__(self, day: Day, factory: Factory, words: Any = interface) -> None:
+        self.day, self.factory, self.words = day, factory, words
+        f, streams = day.figures, day.streams
+        self.agenda = Agenda()
+        self.network = Network(f, streams)
+        self.counter = Counter(f)
+        self.discovery = Discovery(f, streams.of("discovery"))
+        self.settings = day.settings(words)
+        self.habits = Habits(f, self.settings[0].max_retry_after)
+        self.watchman = Watchman(day, self.settings[0])
+        self.classes = [shape.name for shape in f.classes]
+        self.effects = [CLASSES[name].get("effect", "safe") for name in self.classes]
+        self.deadlines = [CLASSES[name]["deadline"] for name in self.classes]
+        count = day.scenario.gateways
+        self.gateways: list[Decisions | None] = [None] * count
+        self.epochs, self.busy = [0] * count, [0.0] * count
+        self.intakes = [Intake(self.settings[0].mail_per_s) for _ in range(count)]
+        self.lists: list[dict[int, Entry]] = [{} for _ in range(count)]
+        self.open: list[dict[int, TryRecord]] = [{} for _ in range(count)]
+        self.attempts: list[dict[tuple[int, int], tuple[TryRecord, AttemptRecord]]] = [
+            {} for _ in range(count)
+        ]
+        self.seen_down: set[int] = set()
+        self.leaving: set[int] = set()
+        self.pools: list[dict[int, list[float]]] = [{} for _ in range(count)]  # idle connections: since when
+        self.tills: dict[int, TillServer] = {}
+        self.wakes: dict[int, float] = {}
+        self.held: dict[int, dict[Work, tuple[int, TryRecord, AttemptRecord]]] = {}  # at each till server
+        self.asks = [AskRecord(ask) for ask in day.traffic.asks]
+        self.records: dict[int, AskRecord] = {}  # by the number of an open request
+        self.stores: dict[int, Store] = {}
+        self.refs = 0
+        self.cells: list[Cell] = []
+        noise = streams.of("noise")
+        spread = [shape.noise for shape in f.classes]
+        self.noise = [
+            lognormal(noise, 1.0, cv, NOISE).tolist() if cv else [1.0] * NOISE for cv in spread
+        ]
+        self.event_ms, self.dial_ms = f["event_ms"], f["dial_ms"]
+        self.rtts, self.handshake = f["handshake_rtts"], f["handshake_work"]
+        self.idle_ms = f["conn_idle_ms"] / 3  # the program gives idle ones up well before till servers do
+        # What the score asks for, besides the records.
+        self.message_bytes = self.probes = self.counts = 0
+        self.events = 0
+        self.gateway_ns = 0
+        self.window = max(self.deadlines)
+        self.acts: dict[Any, Callable[[int, Any, float], None]] = {
+            words.Send: self._send, words.Refuse: self._refuse, words.Fail: self._fail,
+            words.Cancel: self._cancel, words.SetTimer: self._timer, words.Tell: self._tell,
+            words.Watch: lambda gateway, action, at: None, Count: self._count,
+        }  # fmt: skip
+        self._build(f, streams)
+
+    def _build(self, f: Any, streams: Any) -> None:
+        speeds = streams.of("speeds")
+        size = max(1, round(f["cell_size"]))
+        for number in range(self.day.scenario.servers):
+            if number % size == 0:
+                self.cells.append(Cell(self.window))
+            speed = max(0.3, f["speed"] * (1 + f["speed_cv"] * float(speeds.standard_normal())))
+            self._add_till(number, speed, len(self.cells) - 1)
+        self.next_server = self.day.scenario.servers
+        for fault in self.day.faults:
+            self.agenda.at(fault.at, self._strike, fault)
+        for number in range(len(self.gateways)):
+            self.lists[number] = dict(self.discovery.entries)
+            self._start_gateway(number)
+        if self.asks:
+            self.agenda.at(self.asks[0].ask.at, self._arrive, 0)
+
+    def _add_till(self, number: int, speed: float, cell: int) -> TillServer:
+        errors = self.day.streams.of("errors", number)
+        till = TillServer(
+            number,
+            self.day.figures,
+            speed,
+            cell,
+            self.cells[cell],
+            Draws(errors.random),
+            self.day.rules.tip_after,
+            self.day.rules.fall_multiple,
+        )
+        self.tills[number], self.held[number], self.wakes[number] = till, {}, float("inf")
+        self.discovery.entries[number] = Entry(number, cell)
+        return till
+
+    # Running
+
+    def run(self) -> None:
+        """Play the day, and on until all is answered."""
+        begun = time.process_time_ns()
+        last = self.day.length + 2 * self.window + 1000
+        self.agenda.run(last)
+        self.events = self.agenda.done
+        self.cpu_ns = time.process_time_ns() - begun
+        self.watchman.end(self.agenda.now)
+
+    # Gateways
+
+    def _start_gateway(self, number: int) -> None:
+        now = self.agenda.now
+        seed = self.day.streams.integer("gateway", number * 1000 + self.epochs[number])
+        gateway = self.factory(self.settings[number], seed, now)
+        self.gateways[number], self.busy[number] = gateway, now
+        self.leaving.discard(number)
+        self._carry_out(number, gateway.start())
+        rows = tuple(self._row(entry) for entry in self.lists[number].values())
+        self.watchman.told_list(number, self.lists[number].values(), now)
+        self._feed(number, self.words.Members("persisted", rows))
+
+    def _row(self, entry: Entry) -> Any:
+        return self.words.ServerEntry(
+            entry.server, self.settings[0].zone, entry.cell, entry.state, entry.started
+        )
+
+    def _feed(self, number: int, event: Any) -> None:
+        gateway = self.gateways[number]
+        if gateway is None:
+            return
+        now = self.agenda.now
+        begun = time.perf_counter_ns()
+        actions = gateway.handle(now, event)
+        self.gateway_ns += time.perf_counter_ns() - begun
+        self._carry_out(number, actions)
+
+    def _carry_out(self, number: int, actions: Iterable[Any]) -> None:
+        """An event costs its gateway time: what it does leaves when that is over, after what came before."""
+        busy = self.busy[number]
+        now = self.agenda.now
+        self.busy[number] = at = (busy if busy > now else now) + self.event_ms
+        acts = self.acts
+        for action in actions:
+            acts[type(action)](number, action, at)
+
+    def _timer(self, gateway: int, action: Any, at: float) -> None:
+        self.agenda.at(
+            max(action.at, self.agenda.now), self._fire, gateway, self.epochs[gateway], action.token
+        )
+
+    def _fire(self, gateway: int, epoch: int, token: int) -> None:
+        if self.epochs[gateway] == epoch:
+            self._feed(gateway, self.words.Timer(token))
+
+    # Messages and the counter
+
+    def _tell(self, gateway: int, action: Any, at: float) -> None:
+        peers = range(len(self.gateways)) if action.peer < 0 else (action.peer,)
+        for peer in peers:
+            if peer != gateway and (delay := self.network.message(gateway, peer)) is not None:
+                self.agenda.at(at + delay, self._hear, gateway, peer, action.data)
+
+    def _hear(self, sender: int, peer: int, data: str) -> None:
+        if self.gateways[peer] is not None and self.intakes[peer].take(self.agenda.now):
+            self.message_bytes += len(data)
+            self._feed(peer, self.words.PeerMessage(sender, data))
+
+    def _count(self, gateway: int, action: Any, at: float) -> None:
+        self.counts += 1
+        word, done, total = self.counter.call(at, action.name, action.amount, action.life, gateway)
+        given_up = at + self.day.figures["counter_wait_ms"]
+        back = done + 2 * self.network.till.next()
+        if back > given_up:
+            word, back = "timeout", given_up  # type: ignore[assignment]
+        self.agenda.at(back, self._counted, gateway, self.epochs[gateway], Counted(action.name, word, total))
+
+    def _counted(self, gateway: int, epoch: int, event: Any) -> None:
+        if self.epochs[gateway] == epoch:
+            self._feed(gateway, event)
+
+    # Clients
+
+    def _arrive(self, number: int) -> None:
+        if number + 1 < len(self.asks):
+            self.agenda.at(self.asks[number + 1].ask.at, self._arrive, number + 1)
+        self._ask(self.asks[number], 1)
+
+    def _ask(self, record: AskRecord, number: int) -> None:
+        ask, now = record.ask, self.agenda.now
+        deadline = self.deadlines[ask.cls]
+        left = ask.at + deadline - now
+        patience = min(ask.patience * deadline, left)
+        if patience <= 1:
+            return
+        pick = ask.pick if number == 1 else self.habits.elsewhere_pick(ask, number)
+        gateway = self.day.traffic.gateway(ask.customer, now, pick, len(self.gateways), self.seen_down)
+        self.refs += 1
+        record.tries = number
+        one = TryRecord(self.refs, ask, number, gateway, now, patience)
+        self.watchman.tries.append(one)
+        self.agenda.at(now + self.network.client.next(), self._taken, record, one)
+
+    def _taken(self, record: AskRecord, one: TryRecord) -> None:
+        if self.gateways[one.gateway] is None:
+            self._client_told(record, one, "unreachable", 0.0)
+            return
+        ask, now = one.ask, self.agenda.now
+        who = self.day.traffic.customers[ask.customer]
+        one.taken = True
+        self.open[one.gateway][one.ref] = one
+        self.agenda.at(one.sent + one.patience, self._give_up, record, one)
+        self.records[one.ref] = record
+        self._feed(
+            one.gateway,
+            self.words.Request(
+                ref=one.ref,
+                cls=self.classes[ask.cls],
+                plan=self.day.figures.plans[who.plan].name,
+                customer=who.name,
+                patience=one.sent + one.patience - now,
+                units=ask.guess,
+                spread=who.spread,
+                first=who.first,
+                retry=one.number > 1,
+            ),
+        )
+
+    def _give_up(self, record: AskRecord, one: TryRecord) -> None:
+        """The client's patience is over."""
+        if not one.known:
+            self._client_told(record, one, "late", 0.0)
+        if one.answer is None and self.open[one.gateway].get(one.ref) is one:
+            self.agenda.at(self.agenda.now + self.day.rules.answer_slack, self._overdue, one)
+
+    def _overdue(self, one: TryRecord) -> None:
+        if one.answer is None and self.open[one.gateway].pop(one.ref, None) is not None:
+            self.watchman.lost(one)
+            self._feed(one.gateway, self.words.ClientGone(one.ref))
+
+    def _client_told(self, record: AskRecord, one: TryRecord, told: Final, wait: float) -> None:
+        if one.known:
+            return
+        one.known = True
+        now, ask = self.agenda.now, one.ask
+        record.last, record.ended = told, now
+        if told == "served":
+            if record.served is None:
+                record.served, record.inside = now, bool(one.inside)
+            return
+        pause = self.habits.next_try(ask, one.number, told, wait, self.effects[ask.cls] == "safe")
+        if pause is not None:
+            self.agenda.at(now + pause, self._ask, record, one.number + 1)
+
+    # Answers
+
+    def _answer(self, gateway: int, ref: int, final: Final, wait: float, at: float) -> None:
+        one = self.open[gateway].pop(ref, None)
+        if one is None:
+            self.watchman.answered_again(ref, final)
+            return
+        one.answer, one.answered = final, at
+        self.watchman.answered(one, final, at)
+        record = self.records.pop(ref)
+        self.agenda.at(at + self.network.client.next(), self._client_told, record, one, final, wait)
+
+    def _refuse(self, gateway: int, action: Any, at: float) -> None:
+        self._answer(gateway, action.ref, "refused", action.wait, at)
+
+    def _fail(self, gateway: int, action: Any, at: float) -> None:
+        self._answer(gateway, action.ref, "failed", 0.0, at)
+
+    # Attempts
+
+    def _send(self, gateway: int, action: Any, at: float) -> None:
+        one = self.open[gateway].get(action.ref)
+        if one is None:
+            self.watchman.sent_after_end(action.ref)
+            return
+        ask, server = one.ask, action.server
+        number = len(one.attempts)
+        till = self.tills[server]
+        table = self.noise[ask.cls]
+        until = one.sent + one.patience
+        if action.timeout:
+            until = min(until, at + action.timeout)
+        key = ask if self.effects[ask.cls] == "keyed" else None
+        work = Work(
+            (one.ref, number), ask.work * table[(ask.noise + number) % NOISE], until, key, ask.units, gateway
+        )
+        attempt = AttemptRecord(server, till.cell, at, work)
+        self.watchman.sending(one, attempt, gateway, at)
+        one.attempts.append(attempt)
+        self.attempts[gateway][one.ref, number] = (one, attempt)
+        delay = self.network.till.next()
+        pool = self.pools[gateway].get(server)
+        while pool and pool[-1] < at - self.idle_ms:
+            pool.pop()
+            till.connections -= 1
+        if pool:
+            pool.pop()
+            attempt.connection = True
+            self.agenda.at(at + delay, self._reach, one, attempt, gateway)
+        elif till.silent:
+            self.agenda.at(
+                at + self.dial_ms, self._end, gateway, one, attempt, "unreachable", self.epochs[gateway]
+            )
+        elif not till.up or till.connections >= till.conn_cap:
+            self.agenda.at(
+                at + 2 * delay, self._end, gateway, one, attempt, "unreachable", self.epochs[gateway]
+            )
+        else:
+            till.connections += 1
+            attempt.connection = True
+            till.extra(self.agenda.now, self.handshake)
+            self._wake(till)
+            self.agenda.at(at + delay * (1 + 2 * self.rtts), self._reach, one, attempt, gateway)
+        if until < one.sent + one.patience:
+            self.agenda.at(until, self._end, gateway, one, attempt, "timeout", self.epochs[gateway])
+
+    def _reach(self, one: TryRecord, attempt: AttemptRecord, gateway: int) -> None:
+        """The attempt's last byte is at its till server."""
+        if attempt.status is not None or attempt.work.cancelled:
+            return
+        now, till, epoch = self.agenda.now, self.tills[attempt.server], self.epochs[gateway]
+        if not till.up:
+            self.agenda.at(now + self.network.till.next(), self._end, gateway, one, attempt, "reset", epoch)
+            return
+        attempt.arrived = now
+        if one.inside is None:
+            one.inside = self._store(one.ask.customer).take(now, one.ask.guess)
+        if till.silent:
+            self.held[attempt.server][attempt.work] = (gateway, one, attempt)
+            return
+        told = self.watchman.knows_start(gateway, attempt.server, till.started)
+        fallen = till.fallen
+        word, ended = till.offer(now, attempt.work, told)
+        if till.fallen and not fallen:
+            self._fell(till)
+        self._finished(till, ended)
+        if word is None:
+            self.held[attempt.server][attempt.work] = (gateway, one, attempt)
+        else:
+            self._back(gateway, one, attempt, word)
+        self._wake(till)
+
+    def _store(self, customer: int) -> Store:
+        store = self.stores.get(customer)
+        if store is None:
+            plan = self.day.figures.plans[self.day.traffic.customers[customer].plan]
+            held = self.settings[0].plans[plan.name]
+            store = self.stores[customer] = Store(held.rate, held.burst)
+        return store
+
+    def _wake(self, till: TillServer) -> None:
+        if till.due < self.wakes[till.number]:
+            self.wakes[till.number] = till.due
+            self.agenda.at(till.due, self._due, till)
+
+    def _due(self, till: TillServer) -> None:
+        now = self.agenda.now
+        if now < self.wakes[till.number]:
+            return
+        self.wakes[till.number] = float("inf")
+        if till.due <= now:
+            self._finished(till, till.advance(now))
+        self._wake(till)
+
+    def _finished(self, till: TillServer, ended: list[Work]) -> None:
+        held = self.held[till.number]
+        for work in ended:
+            if work.effect:
+                self.watchman.ran(work)
+            found = held.pop(work, None)
+            if found is not None and not work.cancelled:
+                till.took += self.agenda.now - (found[2].arrived or 0.0)
+                self._back(*found, till.answer(work))
+
+    def _back(self, gateway: int, one: TryRecord, attempt: AttemptRecord, word: str) -> None:
+        at = self.agenda.now + self.network.till.next()
+        self.agenda.at(at, self._end, gateway, one, attempt, word, self.epochs[gateway])
+
+    def _end(self, gateway: int, one: TryRecord, attempt: AttemptRecord, status: str, epoch: int) -> None:
+        """How an attempt ended is at its gateway."""
+        if attempt.status is not None or self.epochs[gateway] != epoch:
+            return
+        attempt.status = status
+        now, server = self.agenda.now, attempt.server
+        number = attempt.work.token[1]  # type: ignore[index]
+        self.attempts[gateway].pop((one.ref, number), None)
+        if attempt.connection:
+            till = self.tills[server]
+            if status in ("ok", "error", "full"):
+                self.pools[gateway].setdefault(server, []).append(now)
+            else:
+                till.connections = max(0, till.connections - 1)
+                till.cancel(now, attempt.work)
+        if status in ("unreachable", "reset") and attempt.arrived is None:
+            attempt.status = status = "unreachable"
+        cost = 0.0
+        if status == "ok":
+            cost = attempt.work.units
+            if one.inside and one.answer is None:
+                self._store(one.ask.customer).settle(now, cost - one.ask.guess)
+            if one.answer is None:
+                at = max(self.busy[gateway], now) + self.event_ms
+                self._answer(gateway, one.ref, "served", 0.0, at)
+        self._feed(
+            gateway,
+            self.words.Outcome(
+                ref=one.ref,
+                status=status,
+                closed=one.answer is not None or one.ref not in self.open[gateway],
+                attempt=number,
+                server=server,
+                latency=now - attempt.sent,
+                cost=cost,
+            ),
+        )
+
+    def _cancel(self, gateway: int, action: Any, at: float) -> None:
+        found = self.attempts[gateway].get((action.ref, action.attempt))
+        if found is not None and found[1].status is None:
+            one, attempt = found
+            attempt.work.cancelled = True
+            self.held[attempt.server].pop(attempt.work, None)
+            self.agenda.at(
+                at,
+                self._end,
+                gateway,
+                one,
+                attempt,
+                "cancelled" if attempt.arrived is not None else "unsent",
+                self.epochs[gateway],
+            )
+
+    # Faults
+
+    def _strike(self, fault: Fault) -> None:
+        getattr(self, f"_on_{fault.kind}")(fault)
+
+    def _change(self, entry: Entry, silent: bool = False) -> None:
+        for at, gateway in self.discovery.change(self.agenda.now, entry, len(self.gateways), silent):
+            self.agenda.at(at, self._news, gateway, entry)
+
+    def _news(self, gateway: int, entry: Entry) -> None:
+        self.lists[gateway][entry.server] = entry
+        if entry.state == "gone":
+            del self.lists[gateway][entry.server]
+        if self.gateways[gateway] is not None:
+            self.watchman.told(gateway, entry, self.agenda.now)
+            self._feed(gateway, self.words.Members("partial", (self._row(entry),)))
+
+    def _lose(self, till: TillServer, held: Iterable[Work]) -> None:
+        """All connections to a till server break; attempts at it end as resets."""
+        for pools in self.pools:
+            pools.pop(till.number, None)
+        there = self.held[till.number]
+        for work in list(held):
+            found = there.pop(work, None)
+            if found is not None and not work.cancelled:
+                self._back(*found, "reset")
+        for work, found in list(there.items()):
+            del there[work]
+            if not work.cancelled:
+                self._back(*found, "reset")
+
+    def _on_crash(self, fault: Fault) -> None:
+        for number in fault.who:
+            till = self.tills[number]
+            self._finished(till, till.advance(self.agenda.now))
+            self._lose(till, till.crash(self.agenda.now))
+            # The list knows whether a process runs: it is told that this one is gone, and then of its start.
+            self._change(Entry(number, till.cell, "gone"))
+            if fault.lasts:
+                self.agenda.at(fault.end, self._come_back, number)
+
+    def _fell(self, till: TillServer) -> None:
+        """Pushed over while cold: it stays down."""
+        self.watchman.pushed_over(till)
+        self._lose(till, till.crash(self.agenda.now))
+        self._change(Entry(till.number, till.cell, "gone"))
+
+    def _come_back(self, number: int) -> None:
+        till = self.tills[number]
+        if till.fallen:
+            return
+        if till.silent:
+            self._lose(till, till.crash(self.agenda.now))
+        till.start(self.agenda.now)
+        self._change(Entry(number, till.cell, "ready", self.agenda.now))
+
+    def _on_silent(self, fault: Fault) -> None:
+        for number in fault.who:
+            till = self.tills[number]
+            self._finished(till, till.advance(self.agenda.now))
+            till.silent, till.due = True, float("inf")
+            self._change(Entry(number, till.cell, "gone"), silent=True)
+            if fault.lasts:
+                self.agenda.at(fault.end, self._come_back, number)
+
+    def _on_drain(self, fault: Fault) -> None:
+        for number in fault.who:
+            self._change(Entry(number, self.tills[number].cell, "draining", self.tills[number].started))
+            self.agenda.at(fault.end + 2 * self.window, self._gone, number)
+
+    def _gone(self, number: int) -> None:
+        till = self.tills[number]
+        self._finished(till, till.advance(self.agenda.now))
+        self._lose(till, till.crash(self.agenda.now))
+        self._change(Entry(number, till.cell, "gone"))
+
+    def _on_add(self, fault: Fault) -> None:
+        speeds = self.day.streams.of("added", int(fault.at))
+        f = self.day.figures
+        for _ in range(int(fault.size)):
+            number, self.next_server = self.next_server, self.next_server + 1
+            speed = max(0.3, f["speed"] * (1 + f["speed_cv"] * float(speeds.standard_normal())))
+            till = self._add_till(number, speed, len(self.cells) - 1)
+            till.start(self.agenda.now)
+            self._change(Entry(number, till.cell, "ready", self.agenda.now))
+
+    def _kill(self, number: int) -> None:
+        """A gateway dies with all it holds."""
+        if self.gateways[number] is None:
+            return
+        now = self.agenda.now
+        self.gateways[number] = None
+        self.epochs[number] += 1
+        for _, attempt in self.attempts[number].values():
+            attempt.work.cancelled = True
+            attempt.status = "cancelled"
+            self.held[attempt.server].pop(attempt.work, None)
+            if attempt.connection:
+                self.tills[attempt.server].connections -= 1
+        self.attempts[number] = {}
+        for server, idle in self.pools[number].items():
+            self.tills[server].connections = max(0, self.tills[server].connections - len(idle))
+        self.pools[number] = {}
+        for one in list(self.open[number].values()):
+            record = self.records.pop(one.ref)
+            # Its connection breaks: the client sees a failure that tells nothing.
+            self.agenda.at(now + self.network.client.next(), self._client_told, record, one, "failed", 0.0)
+        self.open[number] = {}
+        self.watchman.killed(number)
+        self.agenda.at(
+            now + self.day.figures["front_notice_ms"], self._front_sees, number, self.epochs[number]
+        )
+
+    def _front_sees(self, number: int, epoch: int) -> None:
+        if self.epochs[number] == epoch and self.gateways[number] is None:
+            self.seen_down.add(number)
+
+    def _revive(self, number: int) -> None:
+        self.seen_down.discard(number)
+        if self.gateways[number] is None:
+            self._start_gateway(number)
+
+    def _on_restart(self, fault: Fault) -> None:
+        for number in fault.who:
+            self._kill(number)
+            self.agenda.at(fault.end, self._revive, number)
+
+    def _on_leave(self, fault: Fault) -> None:
+        for number in fault.who:
+            stop = self.agenda.now + AFTER_TERM
+            self.agenda.at(stop, self.seen_down.add, number)
+            self.agenda.at(stop + self.window, self._kill, number)
+            self.agenda.at(stop + self.window + fault.lasts, self._revive, number)
+
+    def _on_burst(self, fault: Fault) -> None:
+        """Drawn into the traffic."""
+
+    def _on_counter_down(self, fault: Fault, how: Any = "refusing") -> None:
+        self.counter.down = how
+        self.agenda.at(fault.end, self._counter_back, fault.size > 0.5)
+
+    def _on_counter_silent(self, fault: Fault) -> None:
+        self._on_counter_down(fault, "silent")
+
+    def _counter_back(self, empty: bool) -> None:
+        self.counter.down = ""
+        if empty:
+            self.counter.empty()
+
+    def _on_counter_slow(self, fault: Fault) -> None:
+        self.counter.slower = fault.size
+        self.agenda.at(fault.end, self._set_slower, 1.0)
+
+    def _set_slower(self, times: float) -> None:
+        self.counter.slower = times
+
+    def _on_counter_split(self, fault: Fault) -> None:
+        self.counter.split(frozenset(fault.who))
+        self.agenda.at(fault.end, self.counter.split, frozenset())
+
+    def _on_loss(self, fault: Fault) -> None:
+        before, self.network.loss = self.network.loss, fault.size
+        self.agenda.at(fault.end, self._set_loss, before)
+
+    def _set_loss(self, loss: float) -> None:
+        self.network.loss = loss
+
+
+# The counter's call and its answer, which the decisions do not make yet; plain policies do.
+
+
+class Count:
+    """Action: add `amount` to the counter's number `name`, which lives `life` ms if it is new."""
+
+    __slots__ = ("amount", "life", "name")
+
+    def __init__(self, name: int, amount: float, life: float) -> None:
+        self.name, self.amount, self.life = name, amount, life
+
+
+class Counted:
+    """Event: how a call ended ("ok", "full", "unreachable", or "timeout": perhaps added), and the total."""
+
+    __slots__ = ("name", "status", "total")
+
+    def __init__(self, name: int, status: str, total: float) -> None:
+        self.name, self.status, self.total = name, status, total
--- /dev/null
+++ b/mapleshunt/model/plots.py
@@ -0,0 +1,92 @@
+"""Pictures of experiments. Matplotlib is loaded only when one is drawn."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from .experiments import Comparison, SweepPoint
+
+
+def _pyplot() -> Any:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    return pyplot
+
+
+def _finite(low: float, high: float, mean: float) -> tuple[float, float]:
+    ends = (mean - low, high - mean)
+    return ends if all(abs(one) < float("inf") for one in ends) else (0.0, 0.0)
+
+
+def sweep(points: Sequence[SweepPoint], figure: str, title: str, file: Path) -> None:
+    """A line with error bars for one setting, a map of means for two."""
+    plt = _pyplot()
+    keys = list(points[0].at)
+    fig, axes = plt.subplots(figsize=(7, 4.2), constrained_layout=True)
+    good = [one for one in points if figure in one.figures]
+    if len(keys) == 1:
+        means = [one.figures[figure] for one in good]
+        bars = [_finite(m.low, m.high, m.mean) for m in means]
+        axes.errorbar(
+            [one.at[keys[0]] for one in good],
+            [m.mean for m in means],
+            yerr=list(zip(*bars, strict=True)) or None,
+            marker="o",
+            capsize=3,
+        )
+        axes.set_ylabel(figure)
+    else:
+        xs, ys = (sorted({one.at[key] for one in good}) for key in keys)
+        grid = [
+            [
+                next(
+                    (o.figures[figure].mean for o in good if o.at[keys[0]] == x and o.at[keys[1]] == y),
+                    float("nan"),
+                )
+                for x in xs
+            ]
+            for y in ys
+        ]
+        image = axes.imshow(grid, origin="lower", aspect="auto")
+        axes.set_xticks(range(len(xs)), [f"{x:g}" for x in xs])
+        axes.set_yticks(range(len(ys)), [f"{y:g}" for y in ys])
+        for row, line in enumerate(grid):
+            for column, value in enumerate(line):
+                axes.text(column, row, f"{value:.3f}", ha="center", va="center", color="w")
+        axes.set_ylabel(keys[1])
+        fig.colorbar(image, label=figure)
+    axes.set_xlabel(keys[0])
+    axes.set_title(title)
+    fig.savefig(file)
+    plt.close(fig)
+
+
+def comparison(found: Comparison, names: tuple[str, str], title: str, file: Path) -> None:
+    """Differences of service's parts and penalties with their intervals, in points of a hundred."""
+    plt = _pyplot()
+    keys = [
+        k
+        for k in found.difference
+        if k in ("service", "whole", "worst_window", "worst_plan", "g") or k.startswith("penalty.")
+    ][::-1]
+    fig, axes = plt.subplots(figsize=(7, 4.2), constrained_layout=True)
+    rows = [found.difference[key] for key in keys]
+    bars = [_finite(one.low, one.high, one.mean) for one in rows]
+    axes.errorbar(
+        [100 * one.mean for one in rows],
+        range(len(keys)),
+        xerr=[[100 * b[0] for b in bars], [100 * b[1] for b in bars]],
+        fmt="o",
+        capsize=3,
+    )
+    axes.axvline(0, color="0.6", linewidth=0.8)
+    axes.set_yticks(range(len(keys)), keys)
+    axes.set_xlabel(f"{names[1]} less {names[0]}, points of 100")
+    axes.set_title(title)
+    fig.savefig(file)
+    plt.close(fig)
--- /dev/null
+++ b/mapleshunt/model/policies.py
@@ -0,0 +1,165 @@
+"""Plain policies that run beside the decision module, to say what the design is worth.
+
+They have its `start` and `handle` and see what it sees, and differ in how they let requests in: all of them,
+an even slice of each quota, or by a call to the shared counter for each. Servers they choose at random, with
+no ramp for cold ones and no bound on what is out.
+"""
+
+from __future__ import annotations
+
+import random
+import zlib
+from dataclasses import dataclass, field
+from typing import Any
+
+from .. import interface as i
+from ..world.quota import Store
+from .engine import Count, Counted
+
+PROVEN = ("full", "unreachable", "unsent")
+MOST_TRIES = 3
+MARGIN = 8.0  # ms before a request's patience ends at which it is answered
+
+
+@dataclass(slots=True, eq=False)
+class Held:
+    request: i.Request
+    due: float
+    tried: list[int] = field(default_factory=list)
+    risky: bool = False  # an attempt may have run
+
+
+class LetAll:
+    """Every request is sent on, to a till server drawn at random."""
+
+    def __init__(self, settings: i.Settings, seed: int, now: float) -> None:
+        self.set, self.random, self.now = settings, random.Random(seed), now
+        self.ready: dict[int, i.ServerEntry] = {}
+        self.held: dict[int, Held] = {}
+        self.actions: list[Any] = []
+
+    def start(self) -> list[Any]:
+        return []
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        self.now, self.actions = now, []
+        match event:
+            case i.Members():
+                if event.kind != "partial":
+                    self.ready = {}
+                for entry in event.entries:
+                    if entry.state == "ready":
+                        self.ready[entry.server] = entry
+                    else:
+                        self.ready.pop(entry.server, None)
+            case i.Request():
+                self.held[event.ref] = Held(event, now + event.patience - MARGIN)
+                self.actions.append(i.SetTimer(now + event.patience - MARGIN, event.ref))
+                self.admit(event)
+            case i.Outcome():
+                self.outcome(event)
+            case i.Timer(ref) if ref in self.held:
+                self.finish(ref)
+            case i.ClientGone(ref):
+                self.held.pop(ref, None)
+            case Counted():
+                self.counted(event)
+        return self.actions
+
+    def admit(self, request: i.Request) -> None:
+        self.send(request.ref)
+
+    def counted(self, event: Counted) -> None:
+        """Only those that call the counter hear of it."""
+
+    def send(self, ref: int) -> None:
+        held = self.held[ref]
+        pool = [server for server in self.ready if server not in held.tried] or list(self.ready)
+        if not pool:
+            self.finish(ref)
+            return
+        server = self.random.choice(pool)
+        held.tried.append(server)
+        self.actions.append(i.Send(ref, server))
+
+    def outcome(self, event: i.Outcome) -> None:
+        held = self.held.get(event.ref)
+        if held is None:
+            return
+        if event.closed:
+            del self.held[event.ref]
+            return
+        held.risky = held.risky or event.status not in PROVEN
+        safe = self.set.classes[held.request.cls].effect == "safe"
+        if len(held.tried) < MOST_TRIES and (safe or not held.risky) and self.now < held.due:
+            self.send(event.ref)
+        else:
+            self.finish(event.ref)
+
+    def finish(self, ref: int) -> None:
+        held = self.held.pop(ref)
+        refusable = self.set.classes[held.request.cls].effect == "safe" or not held.tried
+        if refusable:
+            self.actions.append(i.Refuse(ref, self.set.max_retry_after))
+        else:
+            self.actions.append(i.Fail(ref))
+
+
+class EvenSplit(LetAll):
+    """Each gateway grants a customer its quota over the gateways of the customer's set."""
+
+    part = True
+
+    def __init__(self, settings: i.Settings, seed: int, now: float) -> None:
+        super().__init__(settings, seed, now)
+        self.stores: dict[str, Store] = {}
+
+    def admit(self, request: i.Request) -> None:
+        store = self.stores.get(request.customer)
+        if store is None:
+            plan, parts = self.set.plans[request.plan], request.spread if self.part else 1
+            store = Store(plan.rate / parts, max(plan.burst / parts, self.set.largest))
+            store.at, self.stores[request.customer] = self.now, store
+        if store.take(self.now, request.units):
+            self.send(request.ref)
+        else:
+            self.finish(request.ref)
+
+
+class WholeQuota(EvenSplit):
+    """Each gateway grants a customer its whole quota, and knows nothing of the others."""
+
+    part = False
+
+
+class CountEach(LetAll):
+    """A call to the shared counter for each request; let in when there is no answer."""
+
+    def __init__(self, settings: i.Settings, seed: int, now: float) -> None:
+        super().__init__(settings, seed, now)
+        self.calls: dict[int, list[int]] = {}  # by name: those that wait for its answers, in their order
+
+    def admit(self, request: i.Request) -> None:
+        plan = self.set.plans[request.plan]
+        window = 1000 * plan.burst / plan.rate
+        name = zlib.crc32(f"{request.customer} {int(self.now // window)}".encode())
+        self.calls.setdefault(name, []).append(request.ref)
+        self.actions.append(Count(name, request.units, 2 * window))
+
+    def counted(self, event: Counted) -> None:
+        waiting = self.calls[event.name]
+        ref = waiting.pop(0)
+        if not waiting:
+            del self.calls[event.name]
+        if ref not in self.held:
+            return
+        plan = self.set.plans[self.held[ref].request.plan]
+        if event.status != "ok" or event.total <= 1.25 * plan.burst:  # a window's rate, and part of the store
+            self.send(ref)
+        else:
+            self.finish(ref)
+
+
+POLICIES: dict[str, type[LetAll]] = {
+    "let-all": LetAll, "even-split": EvenSplit, "whole-quota": WholeQuota, "count-each": CountEach,
+}  # fmt: skip
--- /dev/null
+++ b/mapleshunt/model/record.py
@@ -0,0 +1,52 @@
+"""What crossed the model's wire, for score and rules: never what a gateway believes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Literal
+
+from ..world.clients import Ask
+from ..world.till import Work
+
+Final = Literal["served", "refused", "failed", "unreachable", "late"]
+
+
+@dataclass(slots=True, eq=False)
+class AttemptRecord:
+    server: int
+    cell: int
+    sent: float
+    work: Work
+    arrived: float | None = None  # whole at its till server
+    status: str | None = None
+    connection: bool = False  # it holds one
+
+
+@dataclass(slots=True, eq=False)
+class TryRecord:
+    """One request as a client sent it to a gateway; `ask` is the first try that it belongs to."""
+
+    ref: int
+    ask: Ask
+    number: int  # of the client's tries, from 1
+    gateway: int
+    sent: float
+    patience: float
+    taken: bool = False
+    answer: Final | None = None  # as the gateway gave it
+    answered: float = 0.0  # when it left the gateway
+    known: bool = False  # the client has had its end
+    inside: bool | None = None  # its first attempt was inside the quota; None: none arrived
+    attempts: list[AttemptRecord] = field(default_factory=list)
+
+
+@dataclass(slots=True, eq=False)
+class AskRecord:
+    """What became of a first try and its repeats."""
+
+    ask: Ask
+    served: float | None = None  # when the client had its answer
+    inside: bool = False
+    tries: int = 0
+    ended: float = 0.0
+    last: Final | None = None
--- /dev/null
+++ b/mapleshunt/model/rules.py
@@ -0,0 +1,111 @@
+"""The rules, checked from what crossed the wire."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any
+
+from ..world.discovery import Entry
+from ..world.till import TillServer, Work
+from .day import CLASSES, Day
+from .record import AttemptRecord, Final, TryRecord
+
+NAMES = ("lost", "doubled", "two_out", "drain", "pushed_over", "ceiling")
+PROVEN = ("full", "unreachable", "unsent")  # outcomes that prove an attempt never ran
+
+
+class Watchman:
+    """Sees each send, run and answer, and counts the breaks of each rule."""
+
+    def __init__(self, day: Day, settings: Any) -> None:
+        self.day, self.settings = day, settings
+        self.breaks: Counter[str] = Counter({name: 0 for name in NAMES})
+        self.tries: list[TryRecord] = []
+        self.stories: list[str] = []  # the first breaks, in words
+        self.known: dict[int, dict[int, tuple[float, Entry]]] = {}  # what each gateway was told, and when
+        self.runs: dict[int, float] = {}  # effects by request
+        self.fell: list[int] = []
+        self.classes = [CLASSES[shape.name] for shape in day.figures.classes]
+
+    def _break(self, rule: str, story: str) -> None:
+        self.breaks[rule] += 1
+        if len(self.stories) < 20:
+            self.stories.append(f"{rule}: {story}")
+
+    # Discovery
+
+    def told_list(self, gateway: int, entries: Iterable[Entry], now: float) -> None:
+        self.known[gateway] = {entry.server: (now, entry) for entry in entries}
+
+    def told(self, gateway: int, entry: Entry, now: float) -> None:
+        held = self.known.setdefault(gateway, {})
+        before = held.get(entry.server)
+        if before is None or before[1].state != entry.state or before[1].started != entry.started:
+            held[entry.server] = (now, entry)
+
+    def killed(self, gateway: int) -> None:
+        self.known.pop(gateway, None)
+
+    def knows_start(self, gateway: int, server: int, started: float) -> bool:
+        held = self.known.get(gateway, {}).get(server)
+        return held is not None and held[1].started == started
+
+    # Requests
+
+    def sending(self, one: TryRecord, attempt: AttemptRecord, gateway: int, at: float) -> None:
+        """An attempt leaves its gateway; `one.attempts` are those before it."""
+        held = self.known.get(gateway, {}).get(attempt.server)
+        grace = self.day.rules.drain_grace
+        if held is None or (held[1].state != "ready" and at > held[0] + grace):
+            self._break("drain", f"request {one.ref} sent at {at:.0f} to server {attempt.server}")
+        if not self.settings.second_copies and any(a.status is None for a in one.attempts):
+            self._break("two_out", f"request {one.ref}")
+        cls = self.classes[one.ask.cls]
+        effect = cls.get("effect", "safe")
+        risky = [a for a in one.attempts if a.status not in PROVEN]
+        if risky and effect == "unsafe":
+            self._break("doubled", f"request {one.ref} of a class that is never repeated was sent again")
+        elif risky and effect == "keyed":
+            outside = any(a.cell != attempt.cell for a in risky) and cls["group"] == "cell"
+            if outside or at > risky[0].sent + cls["window"]:
+                self._break("doubled", f"request {one.ref} sent again outside its cell or window")
+
+    def sent_after_end(self, ref: int) -> None:
+        self._break("lost", f"request {ref} sent after its final answer")
+
+    def ran(self, work: Work) -> None:
+        """An attempt had its effect. Requests that may be repeated have none to double."""
+        if work.key is None:
+            return
+        key = id(work.key)
+        if key in self.runs:
+            self._break("doubled", f"a sale of customer {work.key.customer} closed twice")  # type: ignore[attr-defined]
+        self.runs[key] = self.runs.get(key, 0.0) + 1
+
+    def answered(self, one: TryRecord, final: Final, at: float) -> None:
+        cls = self.classes[one.ask.cls]
+        risky = any(a.status not in PROVEN for a in one.attempts)
+        if final == "refused" and risky and cls.get("effect", "safe") != "safe":
+            self._break("doubled", f"request {one.ref} refused though it may have run")
+        if at > one.sent + one.patience + self.day.rules.answer_slack:
+            self._break("lost", f"request {one.ref} answered {at - one.sent - one.patience:.0f} ms late")
+
+    def answered_again(self, ref: int, final: Final) -> None:
+        """A second answer is disregarded by the wire; only a second serving would reach a client."""
+        if final == "served":
+            self._break("lost", f"request {ref} answered twice")
+
+    def lost(self, one: TryRecord) -> None:
+        self._break("lost", f"request {one.ref} got no answer")
+
+    def pushed_over(self, till: TillServer) -> None:
+        self.fell.append(till.number)
+        if till.fault:
+            self._break("pushed_over", f"server {till.number} fell over while cold")
+
+    def end(self, now: float) -> None:
+        """The day is over: whatever is still open was lost."""
+        for one in self.tries:
+            if one.taken and one.answer is None and not one.known:
+                self.lost(one)
--- /dev/null
+++ b/mapleshunt/model/scenarios.py
@@ -0,0 +1,97 @@
+"""The built-in scenarios: kinds of day, with troubles drawn from the ranges that operators recorded."""
+
+from __future__ import annotations
+
+from ..world import faults
+from ..world.chance import Rng
+from ..world.faults import Fault
+from .day import Scenario
+
+
+class UnknownScenario(ValueError):
+    """No scenario of that name; its text is for the operator."""
+
+
+def _when(rng: Rng, scenario: Scenario, lasts: float) -> float:
+    """A time in the first half, with room for what lasts so long."""
+    length = 1000 * scenario.seconds
+    return float(rng.uniform(0.15, max(0.16, min(0.5, 1 - lasts / length)))) * length
+
+
+def _scaled(scenario: Scenario, ms: float) -> float:
+    """A trouble's length, less on runs that are shorter than a recorded day."""
+    return ms * min(1.0, scenario.seconds / 40)
+
+
+def _burst(rng: Rng, scenario: Scenario) -> list[Fault]:
+    lasts = _scaled(scenario, float(rng.uniform(5000, 20000)))
+    plan = ("basic", "standard", "enterprise")[int(rng.integers(3))]
+    return [Fault(_when(rng, scenario, lasts), "burst", lasts, size=float(rng.uniform(2.3, 5.5)), plan=plan)]
+
+
+def _crash(rng: Rng, scenario: Scenario) -> list[Fault]:
+    lasts = _scaled(scenario, float(rng.uniform(5400, 23000)))
+    who = faults.some(rng, scenario.servers, float(rng.uniform(0.11, 0.23)))
+    return [Fault(_when(rng, scenario, lasts), "crash", lasts, who)]
+
+
+def _roll(rng: Rng, scenario: Scenario) -> list[Fault]:
+    within = _scaled(scenario, float(rng.uniform(11000, 28000)))
+    part, batch = float(rng.uniform(0.52, 0.87)), float(rng.uniform(0.085, 0.26))
+    down = float(rng.uniform(310, 1100))
+    return faults.roll(rng, scenario.gateways, _when(rng, scenario, within), within, part, batch, down)
+
+
+def _counter(rng: Rng, scenario: Scenario) -> list[Fault]:
+    lasts = _scaled(scenario, float(rng.uniform(3500, 15000)))
+    slow = _scaled(scenario, float(rng.uniform(5100, 20000)))
+    begin = _when(rng, scenario, lasts)
+    return [
+        Fault(begin, "counter_down", lasts, size=1.0),
+        Fault(begin + lasts, "counter_slow", slow, size=float(rng.uniform(2.3, 6.8))),
+    ]
+
+
+def _cold(rng: Rng, scenario: Scenario) -> list[Fault]:
+    """A third more servers are switched on while a few drain."""
+    drained = faults.some(rng, scenario.servers, 0.15)
+    begin = 0.2 * 1000 * scenario.seconds
+    return [
+        Fault(begin, "add", size=max(1, round(scenario.servers / 3))),
+        Fault(begin + 2000, "drain", 3000, drained),
+    ]
+
+
+def _worst(rng: Rng, scenario: Scenario) -> list[Fault]:
+    return [*_burst(rng, scenario), *_crash(rng, scenario), *_roll(rng, scenario), *_counter(rng, scenario)]
+
+
+def _silent(rng: Rng, scenario: Scenario) -> list[Fault]:
+    lasts = _scaled(scenario, float(rng.uniform(5400, 15000)))
+    return [Fault(_when(rng, scenario, lasts), "silent", lasts, faults.some(rng, scenario.servers, 0.12))]
+
+
+SCENARIOS = {
+    one.name: one
+    for one in (
+        Scenario("quiet", "a calm day, 39 to 51% busy", (0.39, 0.51)),
+        Scenario("busy", "a usual day, 43 to 67% busy", (0.55, 0.67)),
+        Scenario("overload", "use inside quotas alone comes to 80 to 97%", (0.8, 0.97)),
+        Scenario("payday", "all retailers of one plan ask for several times as much", (0.43, 0.64), _burst),
+        Scenario("crash", "till servers die and come back cold", (0.43, 0.64), _crash),
+        Scenario("silent", "till servers' machines vanish without a word", (0.43, 0.64), _silent),
+        Scenario("roll", "gateways are restarted in turn", (0.43, 0.64), _roll),
+        Scenario("counter", "the counter refuses, returns empty, then is slow", (0.43, 0.64), _counter),
+        Scenario(
+            "cold", "a third more till servers start cold while some drain, at high load", (0.8, 0.97), _cold
+        ),
+        Scenario("worst", "burst, crash, restarts and a lost counter in one day", (0.55, 0.67), _worst),
+    )
+}
+
+
+def scenario_of(name: str) -> Scenario:
+    """Raises `UnknownScenario`."""
+    if name not in SCENARIOS:
+        raise UnknownScenario(f"no scenario {name!r}; there are {', '.join(SCENARIOS)}")
+    return SCENARIOS[name]
--- /dev/null
+++ b/mapleshunt/model/score.py
@@ -0,0 +1,160 @@
+"""Service as the operators weigh it, and each penalty, from the record of what crossed the wire."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass, field
+
+import numpy as np
+
+from ..world.quota import Store
+from .day import CLASSES, Day
+from .engine import Engine
+from .rules import NAMES
+
+WEIGHTS = {"whole": 0.55, "worst_window": 0.2, "worst_plan": 0.25}
+PRICES = {"waste": 0.08, "late_fail": 0.044, "messages": 0.043, "probes": 0.01, "counter": 0.005}
+WINDOW, STEP = 10.0, 1.0  # s
+MESSAGE = 256  # bytes
+LEAST = 0.02  # part of the offered worth that a window must hold to count
+
+
+@dataclass(slots=True)
+class Score:
+    """A run's figures. Shares are of 1; `g` is service less all penalties; `*_s` are seconds."""
+
+    scenario: str
+    seed: int
+    service: float
+    whole: float
+    worst_window: float
+    worst_plan: float
+    g: float
+    plans: dict[str, float]
+    penalties: dict[str, float]
+    rules: dict[str, int]
+    requests: int
+    tries: int
+    served: int
+    refused: int
+    failed: int
+    over_quota: float  # of the units sent on, those beyond the quotas
+    refused_with_room: float  # of the tries inside the quota as one that sees all has it, those refused
+    p50_ms: float
+    p99_ms: float
+    events: int
+    wall_s: float = 0.0
+    gateway_cpu_s: float = 0.0
+    model_cpu_s: float = 0.0
+    stories: list[str] = field(default_factory=list)
+
+    def as_dict(self) -> dict[str, object]:
+        return asdict(self)
+
+
+def offered(day: Day) -> list[bool]:
+    """Which first tries one gateway that saw them all would let in."""
+    stores: dict[int, Store] = {}
+    inside = []
+    for ask in day.traffic.asks:
+        store = stores.get(ask.customer)
+        if store is None:
+            plan = day.figures.plans[day.traffic.customers[ask.customer].plan]
+            store = stores[ask.customer] = Store(plan.rate, plan.burst)
+        good = store.take(ask.at, ask.guess)
+        if good:
+            store.settle(ask.at, ask.units - ask.guess)
+        inside.append(good)
+    return inside
+
+
+def worth_of(day: Day) -> list[float]:
+    """Class worth x plan price x true units, for each first try."""
+    classes, plans, customers = day.figures.classes, day.figures.plans, day.traffic.customers
+    return [
+        classes[a.cls].worth * plans[customers[a.customer].plan].price * a.units for a in day.traffic.asks
+    ]
+
+
+def score(engine: Engine) -> Score:
+    """Judge a day that has been played."""
+    day, records, tries = engine.day, engine.asks, engine.watchman.tries
+    inside, worth = offered(day), worth_of(day)
+    aims = [CLASSES[shape.name]["aim"] for shape in day.figures.classes]
+    customers, plans = day.traffic.customers, day.figures.plans
+    at = np.array([r.ask.at for r in records]) / 1000 if records else np.zeros(0)
+    weight = np.array(worth)
+    asked = weight * np.array(inside, dtype=float)
+    earned = np.zeros(len(records))
+    took, late = [], 0.0
+    for n, record in enumerate(records):
+        if record.served is not None:
+            took.append(record.served - record.ask.at)
+            if took[-1] <= aims[record.ask.cls] and record.inside:
+                earned[n] = worth[n]
+        elif inside[n] and record.ended - record.ask.at > aims[record.ask.cls]:
+            late += worth[n]
+    total = float(asked.sum()) or 1.0
+
+    def share(mask: np.ndarray) -> float:
+        there = float(asked[mask].sum())
+        return min(1.0, float(earned[mask].sum()) / there) if there else 1.0
+
+    everything = np.ones(len(records), dtype=bool)
+    plan_of = np.array([customers[r.ask.customer].plan for r in records], dtype=int)
+    by_plan = {shape.name: share(plan_of == n) for n, shape in enumerate(plans)}
+    begins = np.arange(0, max(STEP, day.scenario.seconds - WINDOW + STEP / 2), STEP)
+    windows = [(at >= b) & (at < b + WINDOW) for b in begins]
+    windows = [mask for mask in windows if float(asked[mask].sum()) > LEAST * total] or [everything]
+    whole, worst_window = share(everything), min(share(mask) for mask in windows)
+    worst_plan = min(by_plan.values())
+    service = (
+        WEIGHTS["whole"] * whole + WEIGHTS["worst_window"] * worst_window + WEIGHTS["worst_plan"] * worst_plan
+    )
+
+    first = max(1, len(records))
+    offered_work = sum(r.ask.work for r in records) or 1.0
+    spent = sum(till.spent for till in engine.tills.values())
+    useful = sum(a.work.done for t in tries if t.answer == "served" for a in t.attempts if a.status == "ok")
+    over = units = over_units = 0.0
+    room = refused_room = 0
+    shadows: dict[int, Store] = {}
+    for one in tries:
+        if not one.taken:
+            continue
+        plan = plans[customers[one.ask.customer].plan]
+        if one.inside is not None:
+            units += one.ask.units
+            if not one.inside:
+                over_units += one.ask.units
+                over += plan.over_cost * plan.price * day.figures.classes[one.ask.cls].worth * one.ask.units
+        # A store that takes what was sent on inside the quota says which refused tries had room.
+        store = shadows.get(one.ask.customer)
+        if store is None:
+            store = shadows[one.ask.customer] = Store(plan.rate, plan.burst)
+        if store.fill(one.sent) >= max(one.ask.guess, store.burst / 2):
+            room += 1
+            refused_room += one.answer == "refused"
+        if one.inside:
+            store.take(one.sent, one.ask.units)
+    penalties = {
+        "waste": PRICES["waste"] * max(0.0, spent - useful) / offered_work,
+        "late_fail": PRICES["late_fail"] * late / total,
+        "messages": PRICES["messages"] * engine.message_bytes / MESSAGE / first,
+        "probes": PRICES["probes"] * engine.probes / first,
+        "counter": PRICES["counter"] * engine.counts / first,
+        "over_quota": over / total,
+    }
+    final = [t.answer for t in tries]
+    quantiles = np.quantile(took, [0.5, 0.99]) if took else np.zeros(2)
+    cpu, gateway_cpu = engine.cpu_ns / 1e9, engine.gateway_ns / 1e9
+    return Score(
+        scenario=day.scenario.name, seed=day.seed, service=service, whole=whole, worst_window=worst_window,
+        worst_plan=worst_plan, g=service - sum(penalties.values()), plans=by_plan, penalties=penalties,
+        rules={name: engine.watchman.breaks[name] for name in NAMES}, requests=len(records), tries=len(tries),
+        served=final.count("served"), refused=final.count("refused"), failed=final.count("failed"),
+        over_quota=over_units / units if units else 0.0,
+        refused_with_room=refused_room / room if room else 0.0,
+        p50_ms=float(quantiles[0]), p99_ms=float(quantiles[1]), events=engine.events,
+        gateway_cpu_s=gateway_cpu, model_cpu_s=max(0.0, cpu - gateway_cpu), stories=engine.watchman.stories,
+    )  # fmt: skip
+
--- /dev/null
+++ b/mapleshunt/model/stats.py
@@ -0,0 +1,58 @@
+"""Intervals. Replicas share seeds, so what two variants differ by is judged on paired differences.
+
+Student's t on the pairs, not a bootstrap: with 5 to 30 replicas a percentile bootstrap's intervals are too
+short, and differences of a mean over many requests are close to normal.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+from typing import Literal
+
+import numpy as np
+from scipy import stats
+
+LEVEL = 0.95
+
+
+@dataclass(slots=True, frozen=True)
+class Interval:
+    """A mean with its two-sided interval; both ends are the mean where there is one value only."""
+
+    mean: float
+    low: float
+    high: float
+
+    def as_dict(self) -> dict[str, float]:
+        return asdict(self)
+
+
+def interval(values: Sequence[float], level: float = LEVEL) -> Interval:
+    """The mean of independent values with its t interval. Raises ValueError for none."""
+    if not len(values):
+        raise ValueError("no values")
+    mean = float(np.mean(values))
+    if len(values) < 2:
+        return Interval(mean, -math.inf, math.inf)
+    half = float(np.std(values, ddof=1)) / math.sqrt(len(values))
+    half *= float(stats.t.ppf(0.5 + level / 2, len(values) - 1))
+    return Interval(mean, mean - half, mean + half)
+
+
+def prediction(values: Sequence[float], level: float = 0.9) -> Interval:
+    """Where one further value of the same kind lies: wider than the mean's interval by its own spread."""
+    if len(values) < 2:
+        raise ValueError("a prediction needs two values")
+    mean = float(np.mean(values))
+    spread = float(np.std(values, ddof=1)) * math.sqrt(1 + 1 / len(values))
+    half = spread * float(stats.t.ppf(0.5 + level / 2, len(values) - 1))
+    return Interval(mean, mean - half, mean + half)
+
+
+def verdict(difference: Interval) -> Literal["a", "b", "none"]:
+    """Which of two is shown to serve more; `difference` is b less a."""
+    if difference.low > 0:
+        return "b"
+    return "a" if difference.high < 0 else "none"
--- /dev/null
+++ b/mapleshunt/model/variants.py
@@ -0,0 +1,149 @@
+"""What is compared: this version, another checkout, a plain policy, or other settings.
+
+`here`; `path:DIR` (another checkout's decisions, run in processes of its own); `policy:NAME`;
+`set:KEY=VALUE,...`, a key being a field of the gateways' settings, `plan.NAME.rate` or `plan.NAME.burst`, a
+constant of the decision module in capitals, or `world.NAME` for a figure of the world.
+"""
+
+from __future__ import annotations
+
+import importlib.util
+import sys
+import zlib
+from collections.abc import Mapping
+from dataclasses import dataclass, field, fields, replace
+from pathlib import Path
+from types import ModuleType
+from typing import Any
+
+from .. import interface
+from ..world import figures
+from .day import Scenario
+from .engine import Factory
+from .policies import POLICIES
+
+HERE = Path(__file__).parent.parent
+
+
+class BadVariant(ValueError):
+    """A variant that cannot be; its text is for the operator."""
+
+
+@dataclass(slots=True, frozen=True)
+class Variant:
+    """Parsed, and small: it crosses to other processes and is loaded there."""
+
+    text: str
+    kind: str  # "here", "path", "policy" or "set"
+    name: str = ""  # of the policy, or the checkout's folder
+    settings: Mapping[str, Any] = field(default_factory=dict)
+    constants: Mapping[str, float] = field(default_factory=dict)
+    world: Mapping[str, float] = field(default_factory=dict)
+
+    def scenario(self, scenario: Scenario) -> Scenario:
+        """The scenario with this variant's settings and figures."""
+        return replace(
+            scenario, settings={**scenario.settings, **self.settings}, fixed={**scenario.fixed, **self.world}
+        )
+
+
+def _value(text: str) -> Any:
+    if text.lower() in ("true", "false"):
+        return text.lower() == "true"
+    try:
+        number = float(text)
+    except ValueError:
+        raise BadVariant(f"{text!r} is neither a number nor true or false") from None
+    return int(number) if number.is_integer() and "." not in text else number
+
+
+def pair(text: str) -> tuple[str, Any]:
+    """`KEY=VALUE`, checked. Raises `BadVariant`."""
+    key, equals, value = text.partition("=")
+    if not equals or not key:
+        raise BadVariant(f"{text!r} is not KEY=VALUE")
+    check_key(key)
+    return key, _value(value)
+
+
+def check_key(key: str) -> None:
+    """Raises `BadVariant` for a key that sets nothing."""
+    known = {one.name for one in fields(interface.Settings)}
+    if key.startswith("world."):
+        if key[6:] not in figures.SPANS:
+            raise BadVariant(f"{key!r} is no figure of the world")
+    elif key.startswith("plan."):
+        parts = key.split(".")
+        if len(parts) != 3 or parts[1] not in figures.PLAN_SPANS or parts[2] not in ("rate", "burst"):
+            raise BadVariant(f"{key!r} is not plan.NAME.rate or plan.NAME.burst")
+    elif key.isupper():
+        from .. import control
+
+        if not isinstance(getattr(control, key, None), (int, float)):
+            raise BadVariant(f"{key!r} is no figure of the decision module")
+    elif key not in known or key in ("me", "instances", "classes", "plans"):
+        raise BadVariant(f"{key!r} is no setting")
+
+
+def with_pairs(pairs: Mapping[str, Any], text: str) -> Variant:
+    return Variant(
+        text,
+        "set",
+        settings={k: v for k, v in pairs.items() if not k.startswith("world.") and not k.isupper()},
+        constants={k: float(v) for k, v in pairs.items() if k.isupper()},
+        world={k[6:]: float(v) for k, v in pairs.items() if k.startswith("world.")},
+    )
+
+
+def parse(text: str) -> Variant:
+    """Raises `BadVariant`."""
+    kind, colon, rest = text.partition(":")
+    if text == "here":
+        return Variant(text, "here")
+    if kind == "policy" and colon:
+        if rest not in POLICIES:
+            raise BadVariant(f"no policy {rest!r}; there are {', '.join(POLICIES)}")
+        return Variant(text, "policy", rest)
+    if kind == "path" and colon:
+        if not (Path(rest) / "mapleshunt" / "control.py").is_file():
+            raise BadVariant(f"{rest!r} holds no checkout with mapleshunt/control.py")
+        return Variant(text, "path", str(Path(rest).resolve()))
+    if kind == "set" and colon and rest:
+        return with_pairs(dict(pair(one) for one in rest.split(",")), text)
+    raise BadVariant(f"{text!r} is none of here, path:DIR, policy:NAME, set:KEY=VALUE,...")
+
+
+def _package(folder: Path, alias: str) -> ModuleType:
+    """A package under a name of its own: its modules name each other relatively, so copies do not mix."""
+    if alias in sys.modules:
+        return sys.modules[alias]
+    spec = importlib.util.spec_from_file_location(
+        alias, folder / "__init__.py", submodule_search_locations=[str(folder)]
+    )
+    if spec is None or spec.loader is None:
+        raise BadVariant(f"{str(folder)!r} cannot be loaded")
+    module = importlib.util.module_from_spec(spec)
+    sys.modules[alias] = module
+    try:
+        spec.loader.exec_module(module)
+    except BaseException:
+        del sys.modules[alias]
+        raise
+    return module
+
+
+def load(variant: Variant) -> tuple[Factory, Any]:
+    """The factory of its gateways, and the types that they speak."""
+    if variant.kind == "policy":
+        return POLICIES[variant.name], interface
+    if variant.kind == "here" or (variant.kind == "set" and not variant.constants):
+        from ..control import Gateway
+
+        return Gateway, interface
+    folder = Path(variant.name) / "mapleshunt" if variant.kind == "path" else HERE
+    mark = zlib.crc32(f"{folder} {sorted(variant.constants.items())}".encode())
+    package = _package(folder, f"mapleshunt_variant_{mark:08x}")
+    control = importlib.import_module(f"{package.__name__}.control")
+    for name, value in variant.constants.items():
+        setattr(control, name, value)
+    return control.Gateway, importlib.import_module(f"{package.__name__}.interface")
--- a/mapleshunt/net/config.py
+++ b/mapleshunt/net/config.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from .. import interface as i
-from ..simhost import settings_of
+from ..terms import settings_of
 
 Address = tuple[str, int]
 
--- a/mapleshunt/net/discovery.py
+++ b/mapleshunt/net/discovery.py
@@ -12,7 +12,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from .. import interface as i
-from ..simhost import STATES
+from ..terms import STATES
 from . import http, log
 from .buffer import ReadBuffer, TooLong
 from .config import Address, ConfigError, address, family_of
--- a/mapleshunt/simhost.py
+++ b/mapleshunt/simhost.py
@@ -4,82 +4,17 @@
 
 import json
 import sys
-from collections.abc import Mapping
 from typing import Any, TextIO, cast
 
 from . import interface as i
 from .control import Gateway
-
-EFFECTS = {"idempotent": "safe", "deduplicated": "keyed", "at_most_once": "unsafe"}
-STATES = {"Ready": "ready", "Terminating": "draining", "Gone": "gone"}
-LISTS = {"Partial": "partial", "Complete": "complete", "Persisted": "persisted", "Error": "error"}
-STATUSES = {
-    "served": "ok",
-    "server_error": "error",
-    "turned_away": "full",
-    "no_answer": "timeout",
-    "no_connection": "unreachable",
-    "connection_lost": "reset",
-    "called_off": "cancelled",
-    "not_sent": "unsent",
-}
+from .terms import LISTS, STATES, STATUSES, settings_of
 
 
 class WireError(Exception):
     """A line that the wire does not allow."""
 
 
-def settings_of(env: Mapping[str, Any]) -> i.Settings:
-    """The settings of an `Init`; keys that are not known are ignored."""
-    limits, rules, facts = env["PolicyLimits"], env["Invariants"], env["Specifics"]
-    classes = {
-        c["Name"]: i.RequestClass(
-            name=c["Name"],
-            aim=c["Slo"],
-            deadline=c["Deadline"],
-            effect=cast(i.Effect, EFFECTS[c["Effect"]]),
-            group=c.get("Group") or "all",
-            window=c.get("Window") or 0.0,
-            late_worth=c.get("LateValue") or 0.0,
-            stream=bool(c.get("Stream")),
-        )
-        for c in env["RequestClasses"]
-    }
-    plans = {
-        p["Name"]: i.Plan(
-            name=p["Name"],
-            rate=p.get("QuotaRate") or 0.0,
-            burst=p.get("Burst") or 0.0,
-            open_limit=p.get("AtOnce") or 0,
-            ceiling_rate=p.get("HardRate") or 0.0,
-            ceiling_burst=p.get("HardBurst") or 0.0,
-        )
-        for p in env["Packages"]
-    }
-    return i.Settings(
-        me=env["Me"],
-        instances=env["NInstances"],
-        classes=classes,
-        plans=plans,
-        zone=env.get("Zone") or "",
-        tick=env.get("Quantum") or 1.0,
-        ask_discovery=env.get("Discovery") == "on_request",
-        ask_within=rules.get("AskWithin") or 10000.0,
-        max_attempts=limits["MaxAttempts"],
-        max_retry_after=limits.get("MaxRetryAfter") or 0.0,
-        retry_after=bool(limits.get("RetryAfter")),
-        second_copies=bool(limits.get("SecondCopies")),
-        can_cancel=bool(limits.get("MayCancel")),
-        peers=bool(limits.get("PeerMessages")),
-        mail_per_s=facts.get("MailPerS") or 60.0,
-        settles=bool(facts.get("CostAfter")),
-        largest=facts.get("Largest") or 1.0,
-        cold_from=rules.get("ColdFrom") or 1.0,
-        cold=rules.get("Cold") or 0.0,
-        tip_after=rules.get("TipAfter") or 0.0,
-    )
-
-
 def entry_of(row: list[Any]) -> i.ServerEntry:
     server, zone, _kind, cell, mode, _size, started = row[:7]
     return i.ServerEntry(
--- /dev/null
+++ b/mapleshunt/world/chance.py
@@ -0,0 +1,46 @@
+"""Chance by purpose: each purpose has a stream of its own, so that one more draw here moves nothing there."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Callable
+
+import numpy as np
+
+Rng = np.random.Generator
+BLOCK = 4096
+
+
+class Streams:
+    """Independent generators by name from one seed (numpy's `SeedSequence`, keyed by the name)."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+
+    def of(self, purpose: str, number: int = 0) -> Rng:
+        key = (zlib.crc32(purpose.encode()), number)
+        return np.random.Generator(np.random.PCG64(np.random.SeedSequence(self.seed, spawn_key=key)))
+
+    def integer(self, purpose: str, number: int = 0) -> int:
+        return int(self.of(purpose, number).integers(1 << 62))
+
+
+class Draws:
+    """Floats one by one from a generator that is asked for many at once: a call into numpy costs a µs."""
+
+    __slots__ = ("block", "left", "make")
+
+    def __init__(self, make: Callable[[int], np.ndarray]) -> None:
+        self.make = make
+        self.left: list[float] = []
+
+    def next(self) -> float:
+        if not self.left:
+            self.left = self.make(BLOCK).tolist()
+        return self.left.pop()
+
+
+def lognormal(rng: Rng, mean: float, cv: float, size: int) -> np.ndarray:
+    """Lognormal of the given mean and coefficient of variation."""
+    sigma2 = float(np.log1p(cv * cv))
+    return rng.lognormal(np.log(mean) - sigma2 / 2, np.sqrt(sigma2), size)
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,333 @@
+"""The world's machines by themselves: till servers, counter, network, discovery, clients."""
+
+from __future__ import annotations
+
+import math
+
+import numpy as np
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from mapleshunt.world import clients, figures
+from mapleshunt.world.chance import Draws, Streams
+from mapleshunt.world.counter import Counter
+from mapleshunt.world.discovery import Discovery, Entry
+from mapleshunt.world.faults import Fault, roll
+from mapleshunt.world.network import Intake, Network
+from mapleshunt.world.quota import Store
+from mapleshunt.world.till import Cell, TillServer, Work
+
+STEADY = {
+    "cores": 2, "slots_per_core": 2, "queue_per_core": 2, "thrash": 0, "error_rate": 0, "drops_cancelled": 1,
+    "drops_expired": 0, "conn_tax": 0, "cold_from": 0.25, "cold_ms": 10000,
+}  # fmt: skip
+
+
+def world(**fixed: float) -> figures.Figures:
+    return figures.draw(Streams(1).of("figures"), {**STEADY, **fixed})
+
+
+def till(**fixed: float) -> TillServer:
+    return TillServer(0, world(**fixed), 1.0, 0, Cell(4000.0), Draws(Streams(1).of("errors").random))
+
+
+def drain(server: TillServer, until: float = math.inf) -> list[tuple[float, Work]]:
+    """Run a server on its own; when each attempt ended."""
+    ended = []
+    while server.due <= until and server.due < math.inf:
+        at = server.due
+        ended += [(at, work) for work in server.advance(at)]
+    return ended
+
+
+def test_cores_are_shared_evenly_by_what_is_in_work() -> None:
+    server = till()
+    works = [Work(n, 100.0) for n in range(4)]  # 4 slots, 2 cores: each has half a core
+    for work in works:
+        assert server.offer(0.0, work) == (None, [])
+    assert [(round(at), work.token) for at, work in drain(server)] == [(200, 0), (200, 1), (200, 2), (200, 3)]
+
+
+def test_the_waiting_room_is_bounded_and_full_is_never_run() -> None:
+    server = till()
+    words = [server.offer(0.0, Work(n, 100.0))[0] for n in range(10)]
+    assert words == [None] * 8 + ["full"] * 2  # 4 in work, 4 wait
+    assert len(drain(server)) == 8
+
+
+def test_holding_too_many_costs_efficiency() -> None:
+    calm, pressed = till(thrash=0.0), till(thrash=0.2, thrash_at=1.0)
+    for n in range(8):
+        calm.offer(0.0, Work(n, 100.0))
+        pressed.offer(0.0, Work(n, 100.0))
+    assert drain(pressed)[-1][0] > 1.2 * drain(calm)[-1][0]
+
+
+def test_cancelled_waiting_work_is_dropped_only_where_the_day_says_so() -> None:
+    for drops, runs in ((1.0, 7), (0.0, 8)):
+        server = till(drops_cancelled=drops)
+        works = [Work(n, 100.0) for n in range(8)]
+        for work in works:
+            server.offer(0.0, work)
+        server.cancel(0.0, works[7])
+        assert len(drain(server)) == runs
+
+
+def test_a_cell_drops_a_repeat_within_the_window_and_not_after() -> None:
+    server = till()
+    ran = []
+    for at in (0.0, 1000.0, 6000.0):
+        work = Work(at, 50.0, key="sale")
+        server.offer(at, work)
+        drain(server)
+        ran.append(work.effect)
+    assert ran == [True, False, True]
+
+
+@pytest.mark.parametrize("by_work", [0.0, 1.0])
+def test_a_cold_server_starts_at_its_share_and_is_warm_in_time(by_work: float) -> None:
+    server = till(warm_by_work=by_work)
+    server.crash(0.0)
+    server.start(1000.0)
+    assert server.ramp(1000.0) == 0.25
+    assert server.ramp(6000.0) == pytest.approx(0.625)
+    assert server.ramp(11000.0) == 1.0
+    if by_work:
+        server.fall_multiple = 100.0
+        for n in range(4):
+            server.offer(1000.0, Work(n, 4000.0))
+        drain(server, 6000.0)
+        assert server.ramp(6000.0) > 0.625
+
+
+def test_a_cold_server_sent_too_much_falls_over_and_stays_down() -> None:
+    # 2 cores at a quarter do 500 ms a second; four times that, and a tenth for chance, is 2200 ms of work.
+    server = till()
+    server.crash(0.0)
+    server.start(1000.0)
+    sent = 0
+    while not server.fallen:
+        server.offer(1000.0 + sent, Work(sent, 100.0), told=sent % 4 != 0)
+        sent += 1
+    assert 2200 < 100 * sent < 2400 and server.fault
+    assert server.offer(3000.0, Work("late", 1.0))[0] == "full"
+
+
+def test_it_is_no_fault_of_gateways_that_did_not_know_of_its_start() -> None:
+    server = till()
+    server.crash(0.0)
+    server.start(1000.0)
+    for n in range(40):
+        server.offer(1000.0, Work(n, 100.0), told=n % 2 == 0)
+    assert server.fallen and not server.fault
+
+
+def test_reports_are_refreshed_now_and_then_and_come_late() -> None:
+    server = till(report_period_ms=200, report_delay_ms=100, report_noise=0)
+    server.offer(0.0, Work(0, 1000.0))
+    assert server.report(250.0).inflight == 0
+    assert server.report(351.0).inflight == 1
+    server.advance(1500.0)
+    assert server.report(360.0).inflight == 1
+
+
+class TillMachine(RuleBasedStateMachine):
+    """Random offers, cancels, crashes and time against what can be counted from outside."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.server, self.now, self.sent = till(thrash=0.1), 0.0, 0
+        self.held: dict[object, Work] = {}
+        self.work = 0.0
+        self.begun = 0.0
+
+    def ended(self, works: list[Work]) -> None:
+        for work in works:
+            assert self.held.pop(work.token) is work and work.begun
+            self.work += work.done
+
+    @precondition(lambda self: self.server.up)
+    @rule(work=st.floats(1, 500), key=st.sampled_from([None, "a", "b"]))
+    def offer(self, work: float, key: str | None) -> None:
+        self.sent += 1
+        one = Work(self.sent, work, key=key)
+        before = self.server.held()
+        word, ended = self.server.offer(self.now, one)
+        self.ended(ended)
+        if word is None:
+            self.held[self.sent] = one
+        else:
+            assert word == "full" and not one.begun and before >= 8
+
+    @precondition(lambda self: self.held)
+    @rule(pick=st.integers(0, 100))
+    def cancel(self, pick: int) -> None:
+        self.server.cancel(self.now, list(self.held.values())[pick % len(self.held)])
+
+    @rule(ms=st.floats(0, 400))
+    def wait(self, ms: float) -> None:
+        self.now += ms
+        self.ended(self.server.advance(self.now))
+        for token, work in list(self.held.items()):
+            if work.cancelled and not work.begun and work not in self.server.waiting:
+                del self.held[token]  # dropped
+
+    @rule()
+    def crash(self) -> None:
+        if self.server.up:
+            self.ended(self.server.advance(self.now))
+            lost = {work.token for work in self.server.crash(self.now)}
+            assert lost >= {token for token, work in self.held.items() if not work.cancelled}
+            self.held = {}
+        else:
+            self.server.start(self.now)
+
+    @invariant()
+    def bounded(self) -> None:
+        assert self.server.count <= 4 and len(self.server.waiting) <= 4
+        assert self.work <= 2 * self.now + 1e-6  # two cores at speed 1 do no more
+        assert (self.server.due < math.inf) == (self.server.count > 0)
+
+
+TestTillMachine = TillMachine.TestCase
+TestTillMachine.settings = settings(derandomize=True, max_examples=60, stateful_step_count=40, deadline=None)
+
+
+def test_the_counter_serves_in_turn_turns_away_and_comes_back_empty() -> None:
+    counter = Counter(world(counter_per_s=100, counter_ms=1, counter_wait_ms=80, counter_line=0.5))
+    answers = [counter.call(0.0, 7, 1.0, 5000.0) for _ in range(8)]
+    assert [word for word, _, _ in answers] == ["ok"] * 5 + ["full"] * 3  # a line of 40 ms
+    assert [round(at) for _, at, _ in answers[:3]] == [11, 21, 31]
+    assert answers[4][2] == 5.0
+    counter.down = "refusing"
+    assert counter.call(100.0, 7, 1.0, 5000.0)[0] == "unreachable"
+    counter.down = "silent"
+    assert counter.call(100.0, 7, 1.0, 5000.0)[1] == math.inf
+    counter.down = ""
+    assert counter.call(200.0, 7, 0.0, 5000.0)[2] == 5.0
+    assert counter.call(6000.0, 7, 0.0, 5000.0)[2] == 0.0  # its life is over
+    counter.call(6000.0, 7, 3.0, 5000.0)
+    counter.split(frozenset({1}))
+    assert counter.call(6100.0, 7, 1.0, 5000.0, gateway=1)[2] == 4.0
+    assert counter.call(6200.0, 7, 0.0, 5000.0, gateway=0)[2] == 3.0
+    counter.split(frozenset())
+    assert counter.call(6300.0, 7, 0.0, 5000.0, gateway=1)[2] == 3.0
+    counter.empty()
+    assert counter.call(6400.0, 7, 0.0, 5000.0)[2] == 0.0
+
+
+def test_the_counter_forgets_names_it_no_longer_needs() -> None:
+    counter = Counter(world(counter_per_s=1e6, counter_ms=0.01))
+    for name in range(20000):
+        counter.call(float(name), name, 1.0, 10.0)
+    assert len(counter.halves[0]) <= 4096
+
+
+def test_messages_are_lost_and_not_all_taken_in() -> None:
+    network = Network(world(peer_loss=0.25, peer_ms=10), Streams(3))
+    delays = [network.message(0, 1) for _ in range(4000)]
+    lost = sum(one is None for one in delays) / len(delays)
+    assert abs(lost - 0.25) < 0.03  # four standard errors
+    assert abs(np.mean([one for one in delays if one is not None]) - 10) < 0.5
+    network.split = frozenset({1})
+    assert network.message(0, 1) is None
+    intake = Intake(40)
+    assert sum(intake.take(n * 5.0) for n in range(400)) in range(88, 92)  # 2 s at 200 a second, 10 at once
+
+
+def test_news_reaches_each_gateway_late_and_in_order() -> None:
+    discovery = Discovery(
+        world(notice_ms=2000, add_ms=300, silent_notice_ms=9000), Streams(1).of("discovery")
+    )
+    gone = discovery.change(0.0, Entry(1, 0, "gone"), 3)
+    back = discovery.change(100.0, Entry(1, 0, "ready", 100.0), 3)
+    assert all(2000 <= at < 6000 for at, _ in gone)
+    assert all(b >= g for (g, _), (b, _) in zip(gone, back, strict=True))
+    assert min(at for at, _ in discovery.change(20000.0, Entry(2, 0, "gone"), 3, silent=True)) >= 29000
+
+
+def test_a_fixed_figure_moves_no_other() -> None:
+    free = figures.draw(Streams(5).of("figures"))
+    fixed = figures.draw(Streams(5).of("figures"), {"speed": 0.5})
+    assert fixed["speed"] == 0.5
+    assert {k: v for k, v in free.value.items() if k != "speed"} == {
+        k: v for k, v in fixed.value.items() if k != "speed"
+    }
+    assert free.classes == fixed.classes and free.plans == fixed.plans
+    assert "event_ms" in figures.guesses() and "speed" not in figures.guesses()
+    with pytest.raises(figures.UnknownFigure):
+        figures.draw(Streams(5).of("figures"), {"spede": 1.0})
+
+
+def test_traffic_has_the_load_asked_for_and_a_burst_multiplies_one_plan() -> None:
+    drawn = world()
+    calm = clients.traffic(drawn, 3, 400.0, 60000.0, (), Streams(9))
+    inside = 0.0
+    stores: dict[int, Store] = {}
+    for ask in calm.asks:
+        plan = drawn.plans[calm.customers[ask.customer].plan]
+        store = stores.setdefault(ask.customer, Store(plan.rate, plan.burst))
+        if store.take(ask.at, ask.units):
+            inside += ask.units
+    assert 0.8 * 400 < inside / 60 < 1.2 * 400
+    burst = clients.traffic(
+        drawn, 3, 400.0, 60000.0, (Fault(20000, "burst", 20000, size=4, plan="standard"),), Streams(9)
+    )
+
+    def count(traffic: clients.Traffic, plan: str) -> int:
+        return sum(
+            20000 <= a.at < 40000 and drawn.plans[traffic.customers[a.customer].plan].name == plan
+            for a in traffic.asks
+        )
+
+    assert 3 < count(burst, "standard") / count(calm, "standard") < 4.5
+    assert 0.9 < count(burst, "basic") / count(calm, "basic") < 1.1
+
+
+def test_requests_stay_in_the_set_and_avoid_gateways_seen_down() -> None:
+    drawn = world()
+    traffic = clients.traffic(drawn, 5, 300.0, 20000.0, (), Streams(2))
+    for ask in traffic.asks[:500]:
+        who = traffic.customers[ask.customer]
+        members = {(who.first + n) % 5 for n in range(who.spread)}
+        chosen = traffic.gateway(ask.customer, ask.at, ask.pick, 5, set())
+        assert chosen in members
+        other = traffic.gateway(ask.customer, ask.at, ask.pick, 5, {chosen})
+        assert other in members and (other != chosen or who.spread == 1)
+
+
+def test_clients_repeat_by_effect_and_heed_the_advice_they_are_given() -> None:
+    habits = clients.Habits(world(retries=2, backoff_ms=100, honour=0.5), 500.0)
+    ask = clients.Ask(0, 0, 0, 1, 1, 1, 0.5, 1, 0.4, 12)
+    assert habits.next_try(ask, 1, "served", 0, True) is None
+    assert habits.next_try(ask, 1, "failed", 0, False) is None
+    assert habits.next_try(ask, 1, "late", 0, False) is None
+    assert habits.next_try(ask, 1, "unreachable", 0, False) is not None
+    assert habits.next_try(ask, 3, "refused", 0, True) is None
+    assert habits.next_try(ask, 1, "refused", 400, True) == 400
+    assert habits.next_try(ask, 1, "refused", 4000, True) == 500
+    ask.heeds = 0.6
+    assert (habits.next_try(ask, 1, "refused", 400, True) or 0) < 200
+
+
+def test_a_roll_restarts_each_gateway_once() -> None:
+    faults = roll(Streams(1).of("x"), 10, 1000, 10000, 0.8, 0.2, 500)
+    who = [number for fault in faults for number in fault.who]
+    assert len(who) == len(set(who)) == 8 and len(faults) == 4
+
+
+@settings(derandomize=True, max_examples=50, deadline=None)
+@given(st.lists(st.tuples(st.floats(0, 500), st.floats(0.5, 8), st.floats(-4, 8)), max_size=60))
+def test_a_store_never_grants_more_than_rate_and_burst(steps: list[tuple[float, float, float]]) -> None:
+    store, now, granted = Store(10.0, 20.0), 0.0, 0.0
+    for gap, units, more in steps:
+        now += gap
+        if store.take(now, units):
+            more = max(more, -units)
+            store.settle(now, more)
+            granted += units + more
+            # Only the last settlement may be beyond what rate and burst allow.
+            assert granted <= 20 + now / 100 + max(0.0, more) + 1e-6 or store.level < 0
+        assert store.level <= 20
