Add a rig with real gateways on loopback, a demonstration, and structlog

Need: the model's predictions must be held against the real program, and a newcomer should see the whole fleet work with one command. Log lines were formatted by our own code.

Change: mapleshunt/rig hosts the same till servers, discovery, counter, message paths, clients and faults on sockets, starts real gateway processes, and is judged by the same rules and score. 'mapleshunt rig run' and 'mapleshunt demo' use it. Log lines come by structlog over logging, in the same form; its renderer stays ours, for structlog's leaves control characters that strangers send as they are.

Result: the rig sees a program that sends twice, one that answers nonsense and one that sends to draining servers break their rules; the program as it is breaks none under crash, kill, drain, loss and silence.

--- a/mapleshunt/cli/__init__.py
+++ b/mapleshunt/cli/__init__.py
@@ -28,9 +28,10 @@
 
 
 def _commands() -> None:
-    from . import model
+    from . import model, rig
 
-    root.add_command(model.model)
+    for command in (model.model, rig.rig, rig.demo):
+        root.add_command(command)
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/mapleshunt/cli/model.py
+++ b/mapleshunt/cli/model.py
@@ -48,7 +48,7 @@
         raise Trouble(str(error)) from None
 
 
-def _scenario(
+def scenario_named(
     name: str, gateways: int | None, servers: int | None, rate: float | None, seconds: float | None
 ) -> Any:
     from ..model.day import sized
@@ -102,7 +102,7 @@
     """Play one day of a scenario."""
     from ..model.experiments import play
 
-    chosen, day = _variant(variant), _scenario(scenario, gateways, servers, rate, seconds)
+    chosen, day = _variant(variant), scenario_named(scenario, gateways, servers, rate, seconds)
     try:
         found = play(day, seed, chosen)
     except Exception as error:
@@ -152,7 +152,7 @@
     from ..model.experiments import compare as compare_variants
 
     one, other = _variant(a), _variant(b)
-    day = _scenario(scenario, gateways, servers, rate, seconds)
+    day = scenario_named(scenario, gateways, servers, rate, seconds)
     with progress(2 * seeds, scenario) as step, _pool(backend):
         found = compare_variants(day, one, other, range(first_seed, first_seed + seeds), jobs, step)
     if plot is not None and found.difference:
@@ -213,7 +213,7 @@
             values[key] = [pair(f"{key}={value}")[1] for value in rest.split(",")]
         except ValueError as error:
             raise Trouble(str(error)) from None
-    day = _scenario(scenario, gateways, servers, rate, seconds)
+    day = scenario_named(scenario, gateways, servers, rate, seconds)
     total = seeds
     for held in values.values():
         total *= len(held)
--- /dev/null
+++ b/mapleshunt/cli/rig.py
@@ -0,0 +1,119 @@
+"""`mapleshunt rig ...` and `mapleshunt demo`: the fleet on loopback with real gateways."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import click
+
+from .model import scenario_named, sizes
+from .output import Trouble, json_option, print_json, table
+
+
+@click.group()
+def rig() -> None:
+    """The fleet on loopback sockets: real gateways, and everything else played."""
+
+
+def _play(scenario: Any, seed: int, logs: Path | None, program: Path | None) -> Any:
+    from ..model.day import day_of
+    from ..rig import fleet
+    from ..rig.gateways import GatewayFailed
+
+    try:
+        return fleet.play(day_of(scenario, seed), logs, (program or fleet.HERE).resolve())
+    except (GatewayFailed, OSError) as error:
+        raise Trouble(str(error)) from None
+
+
+@rig.command()
+@click.argument("scenario")
+@click.option("--seed", default=1, show_default=True, type=click.IntRange(0))
+@click.option(
+    "--logs", type=click.Path(file_okay=False, path_type=Path), help="Where logs and configurations stay."
+)
+@click.option(
+    "--program",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    help="Another checkout whose gateways run.",
+)
+@sizes
+@json_option
+def run(
+    scenario: str,
+    seed: int,
+    logs: Path | None,
+    program: Path | None,
+    gateways: int | None,
+    servers: int | None,
+    rate: float | None,
+    seconds: float | None,
+    as_json: bool,
+) -> None:
+    """Play one day of a scenario in real time."""
+    day = scenario_named(scenario, gateways, servers, rate, seconds)
+    fleet, found = _play(day, seed, logs, program)
+    found.stories += [f"a client of request {one.ref} heard nothing in time" for one in fleet.late[:5]]
+    extra = {
+        "late_ms": fleet.clock.late,
+        "unanswered": len(fleet.late),
+        "strangers": fleet.strangers,
+        "memory_kb": [g.memory for g in fleet.gateways],
+    }
+    if as_json:
+        print_json({**found.as_dict(), **extra})
+        return
+    table(["figure", "value"], [
+        ["service", found.service], ["whole day", found.whole], ["worst 10 s", found.worst_window],
+        ["worst plan", found.worst_plan], *[[f"penalty, {k}", v] for k, v in found.penalties.items()],
+        *[[f"broken rule, {k}", v] for k, v in found.rules.items()], ["first tries", found.requests],
+        ["served", found.served], ["refused", found.refused], ["failed", found.failed],
+        ["median answer, ms", found.p50_ms], ["99th percentile, ms", found.p99_ms],
+        ["CPU of the gateways, s", found.gateway_cpu_s], ["this process late at worst, ms", fleet.clock.late],
+    ])  # fmt: skip
+    for story in found.stories:
+        click.echo(f"broken: {story}")
+
+
+@click.command()
+@click.option("--seconds", default=5.0, show_default=True, type=click.FloatRange(1))
+@click.option("--seed", default=1, show_default=True, type=click.IntRange(0))
+@click.option("--gateways", default=2, show_default=True, type=click.IntRange(1, 8))
+@click.option("--servers", default=5, show_default=True, type=click.IntRange(1, 40))
+@json_option
+def demo(seconds: float, seed: int, gateways: int, servers: int, as_json: bool) -> None:
+    """Gateways, till servers and clients on loopback for a few seconds, and what became of each request."""
+    from ..rig import summary
+
+    day = scenario_named("busy", gateways, servers, None, seconds)
+    fleet, found = _play(day, seed, None, None)
+    counts = summary.reasons(fleet)
+    good = summary.exactly_once(fleet)
+    if as_json:
+        answers = {name: sum(reasons.values()) for name, reasons in counts.items()}
+        print_json(
+            {
+                **answers,
+                "requests": len(fleet.watchman.tries),
+                "exactly_one": good,
+                "reasons": counts,
+                "service": found.service,
+                "rules": found.rules,
+            }
+        )
+    else:
+        click.echo(
+            f"{gateways} gateways, {servers} till servers, {len(fleet.day.traffic.customers)} customers, "
+            f"{seconds:g} s: {len(fleet.watchman.tries)} requests\n"
+        )
+        table(
+            ["answer", "why", "requests"],
+            [[name, why, n] for name, reasons in counts.items() for why, n in reasons.most_common()],
+        )
+        click.echo(
+            f"\nservice {found.service:.3f}, median answer {found.p50_ms:.0f} ms; every request had "
+            f"{'exactly one' if good else 'NOT one'} final answer"
+        )
+    if not good:
+        raise SystemExit(1)
--- a/mapleshunt/model/engine.py
+++ b/mapleshunt/model/engine.py
@@ -17,11 +17,10 @@
 from ..world.discovery import Discovery, Entry
 from ..world.faults import Fault
 from ..world.network import Intake, Network
-from ..world.quota import Store
 from ..world.till import Cell, TillServer, Work
 from .agenda import Agenda
 from .day import CLASSES, Day
-from .record import AskRecord, AttemptRecord, Final, TryRecord
+from .record import AskRecord, AttemptRecord, Books, Final, TryRecord
 from .rules import Watchman
 
 NOISE = 4096  # places of the table of attempt noise
@@ -73,14 +72,12 @@
         self.held: dict[int, dict[Work, tuple[int, TryRecord, AttemptRecord]]] = {}  # at each till server
         self.asks = [AskRecord(ask) for ask in day.traffic.asks]
         self.records: dict[int, AskRecord] = {}  # by the number of an open request
-        self.stores: dict[int, Store] = {}
+        self.books = Books(day)
         self.refs = 0
         self.cells: list[Cell] = []
         noise = streams.of("noise")
         spread = [shape.noise for shape in f.classes]
-        self.noise = [
-            lognormal(noise, 1.0, cv, NOISE).tolist() if cv else [1.0] * NOISE for cv in spread
-        ]
+        self.noise = [lognormal(noise, 1.0, cv, NOISE).tolist() if cv else [1.0] * NOISE for cv in spread]
         self.event_ms, self.dial_ms = f["event_ms"], f["dial_ms"]
         self.rtts, self.handshake = f["handshake_rtts"], f["handshake_work"]
         self.idle_ms = f["conn_idle_ms"] / 3  # the program gives idle ones up well before till servers do
@@ -360,8 +357,7 @@
             self.agenda.at(now + self.network.till.next(), self._end, gateway, one, attempt, "reset", epoch)
             return
         attempt.arrived = now
-        if one.inside is None:
-            one.inside = self._store(one.ask.customer).take(now, one.ask.guess)
+        self.books.arrived(one, now)
         if till.silent:
             self.held[attempt.server][attempt.work] = (gateway, one, attempt)
             return
@@ -377,14 +373,6 @@
             self._back(gateway, one, attempt, word)
         self._wake(till)
 
-    def _store(self, customer: int) -> Store:
-        store = self.stores.get(customer)
-        if store is None:
-            plan = self.day.figures.plans[self.day.traffic.customers[customer].plan]
-            held = self.settings[0].plans[plan.name]
-            store = self.stores[customer] = Store(held.rate, held.burst)
-        return store
-
     def _wake(self, till: TillServer) -> None:
         if till.due < self.wakes[till.number]:
             self.wakes[till.number] = till.due
@@ -433,8 +421,7 @@
         cost = 0.0
         if status == "ok":
             cost = attempt.work.units
-            if one.inside and one.answer is None:
-                self._store(one.ask.customer).settle(now, cost - one.ask.guess)
+            self.books.settled(one, now)
             if one.answer is None:
                 at = max(self.busy[gateway], now) + self.event_ms
                 self._answer(gateway, one.ref, "served", 0.0, at)
--- a/mapleshunt/model/record.py
+++ b/mapleshunt/model/record.py
@@ -6,7 +6,9 @@
 from typing import Literal
 
 from ..world.clients import Ask
+from ..world.quota import Store
 from ..world.till import Work
+from .day import Day
 
 Final = Literal["served", "refused", "failed", "unreachable", "late"]
 
@@ -50,3 +52,29 @@
     tries: int = 0
     ended: float = 0.0
     last: Final | None = None
+
+
+class Books:
+    """The quotas as one that sees every arrival at a till server holds them."""
+
+    def __init__(self, day: Day) -> None:
+        self.day = day
+        self.plans = day.settings()[0].plans
+        self.stores: dict[int, Store] = {}
+
+    def store(self, customer: int) -> Store:
+        found = self.stores.get(customer)
+        if found is None:
+            name = self.day.figures.plans[self.day.traffic.customers[customer].plan].name
+            found = self.stores[customer] = Store(self.plans[name].rate, self.plans[name].burst)
+        return found
+
+    def arrived(self, one: TryRecord, now: float) -> None:
+        """An attempt is whole at a till server: the first one takes the try's units."""
+        if one.inside is None:
+            one.inside = self.store(one.ask.customer).take(now, one.ask.guess)
+
+    def settled(self, one: TryRecord, now: float) -> None:
+        """Its first good answer told the true units."""
+        if one.inside and one.answer is None:
+            self.store(one.ask.customer).settle(now, one.ask.units - one.ask.guess)
--- a/mapleshunt/model/score.py
+++ b/mapleshunt/model/score.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import asdict, dataclass, field
+from typing import Protocol
 
 import numpy as np
 
 from ..world.quota import Store
+from ..world.till import TillServer
 from .day import CLASSES, Day
-from .engine import Engine
-from .rules import NAMES
+from .record import AskRecord
+from .rules import NAMES, Watchman
 
 WEIGHTS = {"whole": 0.55, "worst_window": 0.2, "worst_plan": 0.25}
 PRICES = {"waste": 0.08, "late_fail": 0.044, "messages": 0.043, "probes": 0.01, "counter": 0.005}
@@ -18,6 +20,21 @@
 LEAST = 0.02  # part of the offered worth that a window must hold to count
 
 
+class Played(Protocol):
+    """What a day leaves behind, in the model or on sockets."""
+
+    day: Day
+    asks: list[AskRecord]
+    watchman: Watchman
+    tills: dict[int, TillServer]
+    message_bytes: int
+    probes: int
+    counts: int
+    events: int
+    cpu_ns: int  # of the host and its gateways
+    gateway_ns: int  # of the gateways
+
+
 @dataclass(slots=True)
 class Score:
     """A run's figures. Shares are of 1; `g` is service less all penalties; `*_s` are seconds."""
@@ -75,7 +92,7 @@
     ]
 
 
-def score(engine: Engine) -> Score:
+def score(engine: Played) -> Score:
     """Judge a day that has been played."""
     day, records, tries = engine.day, engine.asks, engine.watchman.tries
     inside, worth = offered(day), worth_of(day)
@@ -157,4 +174,3 @@
         p50_ms=float(quantiles[0]), p99_ms=float(quantiles[1]), events=engine.events,
         gateway_cpu_s=gateway_cpu, model_cpu_s=max(0.0, cpu - gateway_cpu), stories=engine.watchman.stories,
     )  # fmt: skip
-
--- a/mapleshunt/net/log.py
+++ b/mapleshunt/net/log.py
@@ -1,12 +1,16 @@
-"""Log lines of key=value pairs."""
+"""Log lines of key=value pairs, by structlog over `logging`: lines of libraries come out in the same form."""
 
 from __future__ import annotations
 
 import logging
 import sys
 import time
+from collections.abc import MutableMapping
+from typing import Any
 
-LOG = logging.getLogger("mapleshunt")
+import structlog
+
+LOG: Any = structlog.stdlib.get_logger("mapleshunt")
 
 
 def _quoted(value: object) -> str:
@@ -16,32 +20,50 @@
     return '"' + text.encode("unicode_escape").decode("ascii").replace('"', '\\"') + '"'
 
 
-class KeyValueFormatter(logging.Formatter):
-    """`time=... level=... event=...`, then the fields that the call gave with `extra={"fields": ...}`."""
+def _stamp(logger: object, method: str, event: MutableMapping[str, Any]) -> MutableMapping[str, Any]:
+    """`time`, `level` and `event` first; an exception as `error`, last."""
+    now = time.time()
+    stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(now))
+    level = event.pop("level", method)
+    event.pop("_record", None)
+    event.pop("_from_structlog", None)
+    error = event.pop("exception", None)
+    line = {
+        "time": f"{stamp}.{int(now % 1 * 1000):03d}Z",
+        "level": level,
+        "event": event.pop("event"),
+        **event,
+    }
+    if error:
+        line["error"] = error
+    return line
+
 
-    def format(self, record: logging.LogRecord) -> str:
-        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
-        pairs: dict[str, object] = {
-            "time": f"{stamp}.{int(record.msecs):03d}Z",
-            "level": record.levelname.lower(),
-            "event": record.getMessage(),
-            **getattr(record, "fields", {}),
-        }
-        if record.exc_info:
-            pairs["error"] = self.formatException(record.exc_info)
-        return " ".join(f"{key}={_quoted(value)}" for key, value in pairs.items())
+def render(logger: object, method: str, event: MutableMapping[str, Any]) -> str:
+    """structlog's logfmt leaves control characters as they are; what strangers send may hold them."""
+    return " ".join(f"{key}={_quoted(value)}" for key, value in event.items())
 
 
 def set_up(level: int = logging.INFO) -> None:
+    shared: list[Any] = [structlog.stdlib.add_log_level, structlog.processors.format_exc_info]
+    structlog.configure(
+        processors=[
+            structlog.stdlib.filter_by_level, *shared, structlog.stdlib.ProcessorFormatter.wrap_for_formatter,
+        ],
+        logger_factory=structlog.stdlib.LoggerFactory(),
+        cache_logger_on_first_use=True,
+    )  # fmt: skip
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(KeyValueFormatter())
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(processors=[_stamp, render], foreign_pre_chain=shared)
+    )
     logging.basicConfig(level=level, handlers=[handler], force=True)
 
 
 def say(event: str, /, **fields: object) -> None:
-    LOG.info(event, extra={"fields": fields})
+    LOG.info(event, **fields)
 
 
 def trouble(event: str, /, **fields: object) -> None:
     """An exception that was contained; called while it is handled."""
-    LOG.error(event, exc_info=True, extra={"fields": fields})
+    LOG.error(event, exc_info=True, **fields)
--- /dev/null
+++ b/mapleshunt/rig/clients.py
@@ -0,0 +1,183 @@
+"""Clients and front on sockets: each ask of the day in its time, its answers and repeats on record."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from ..model.record import AskRecord, Final, TryRecord
+from ..net import resp
+from ..net.buffer import ReadBuffer, TooLong
+from .tills import HOST
+
+if TYPE_CHECKING:
+    from .fleet import Fleet
+
+IDLE = 1.5  # s for which a client uses a connection again
+
+
+class Link:
+    """A client connection, one request at a time."""
+
+    def __init__(self, fleet: Fleet, gateway: int) -> None:
+        self.stream = IOStream(socket.socket())
+        self.buffer = ReadBuffer(resp.MAX_MESSAGE)
+        self.fleet, self.gateway = fleet, gateway
+        self.used, self.at = False, 0.0
+
+    async def connect(self) -> None:
+        await self.stream.connect((HOST, self.fleet.gateways[self.gateway].port))
+
+    async def ask(self, command: bytes) -> resp.Reply:
+        """Raises StreamClosedError, `resp.ProtocolError`; bytes that belong to no request are one."""
+        if waiting(self.stream):
+            raise resp.ProtocolError("an answer that nobody asked for")
+        await self.stream.write(command)
+        while not (found := resp.parse_reply(self.buffer.data, self.buffer.start, self.buffer.end)):
+            await self.buffer.fill(self.stream)
+        self.buffer.consume(found[1])
+        if self.buffer.start != self.buffer.end:
+            raise resp.ProtocolError("more than one answer")
+        return found[0]
+
+
+def waiting(stream: IOStream) -> bool:
+    """Has something come that nobody has read?"""
+    try:
+        raw: socket.socket | None = stream.socket
+        return raw is not None and bool(raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+
+
+class Clients:
+    """All clients of a day, behind the front."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.idle: list[list[Link]] = [[] for _ in fleet.gateways]
+        self.seen_down: set[int] = set()
+        self.open = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.refs = 0
+        self.wrong_values = self.strange = 0
+
+    def _go(self, record: AskRecord, number: int) -> None:
+        task = asyncio.get_running_loop().create_task(self._try(record, number))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def run(self) -> None:
+        """All asks, and on until each has its end."""
+        clock, asks = self.fleet.clock, self.fleet.asks
+        for record in asks:
+            wait = record.ask.at - clock.now()
+            if wait > 0.5:
+                await asyncio.sleep(wait / 1000)
+            self._go(record, 1)
+        while self.tasks:
+            await asyncio.wait(set(self.tasks))
+
+    def _link(self, gateway: int) -> Link:
+        pool, now = self.idle[gateway], asyncio.get_running_loop().time()
+        while pool:
+            link = pool.pop()
+            if now - link.at < IDLE and not link.stream.closed():
+                return link
+            link.stream.close()
+        return Link(self.fleet, gateway)
+
+    def drop(self, gateway: int) -> None:
+        for link in self.idle[gateway]:
+            link.stream.close()
+        self.idle[gateway] = []
+
+    async def _try(self, record: AskRecord, number: int) -> None:
+        fleet, clock, ask = self.fleet, self.fleet.clock, record.ask
+        deadline = fleet.deadlines[ask.cls]
+        now = clock.now()
+        patience = min(ask.patience * deadline, ask.at + deadline - now)
+        if patience <= 1:
+            return
+        pick = ask.pick if number == 1 else fleet.habits.elsewhere_pick(ask, number)
+        gateway = fleet.day.traffic.gateway(ask.customer, now, pick, len(fleet.gateways), self.seen_down)
+        self.refs += 1
+        record.tries = number
+        one = TryRecord(self.refs, ask, number, gateway, now, patience)
+        fleet.watchman.tries.append(one)
+        name = f"{fleet.mark + self.refs:016x}"
+        fleet.by_id[name] = (one, record)
+        told, wait = await self._send(one, name)
+        one.known = True
+        record.last, record.ended = told, clock.now()
+        if told == "served":
+            if record.served is None:
+                record.served, record.inside = record.ended, bool(one.inside)
+            return
+        pause = fleet.habits.next_try(ask, number, told, wait, fleet.effects[ask.cls] == "safe")
+        if pause is not None:
+            clock.at(clock.now() + pause, self._go, record, number + 1)
+            # The day is not over while a client waits to come back.
+            self.tasks.add(task := asyncio.get_running_loop().create_task(asyncio.sleep((pause + 5) / 1000)))
+            task.add_done_callback(self.tasks.discard)
+
+    async def _send(self, one: TryRecord, name: str) -> tuple[Final, float]:
+        """Send a try and wait for its end as its client sees it, and the advised wait."""
+        fleet = self.fleet
+        command = fleet.command(one, name)
+        try:
+            async with asyncio.timeout(one.patience / 1000):
+                for last in (False, True):
+                    link = self._link(one.gateway)
+                    try:
+                        if not link.used:
+                            await link.connect()
+                    except StreamClosedError:
+                        link.stream.close()
+                        return "unreachable", 0.0
+                    try:
+                        one.taken = True
+                        reply = await link.ask(command)
+                    except StreamClosedError:
+                        link.stream.close()
+                        if link.used and not one.attempts and not last:
+                            continue  # it was closed between two requests: once more on a new one
+                        if fleet.unwell(one.gateway) or not link.used:
+                            return "failed", 0.0
+                        fleet.watchman.lost(one)
+                        return "failed", 0.0
+                    except (resp.ProtocolError, TooLong):
+                        link.stream.close()
+                        self.strange += 1
+                        fleet.watchman.lost(one)
+                        return "failed", 0.0
+                    link.used, link.at = True, asyncio.get_running_loop().time()
+                    self.idle[one.gateway].append(link)
+                    return self._read(one, name, reply)
+        except TimeoutError:
+            link.stream.close()
+            fleet.late.append(one)
+            return "late", 0.0
+        return "failed", 0.0
+
+    def _read(self, one: TryRecord, name: str, reply: resp.Reply) -> tuple[Final, float]:
+        fleet, now = self.fleet, self.fleet.clock.now()
+        one.answered = now
+        if isinstance(reply, memoryview):
+            one.answer = "served"
+            if not bytes(reply).startswith(name.encode()) or not any(a.status == "ok" for a in one.attempts):
+                self.wrong_values += 1
+                fleet.watchman.lost(one)
+        elif isinstance(reply, resp.ErrorLine) and reply.text.split(" ")[0] == "BUSY":
+            one.answer = "refused"
+        else:
+            one.answer = "failed"
+        fleet.watchman.answered(one, one.answer, now)
+        wait = 0.0
+        if one.answer == "refused" and isinstance(reply, resp.ErrorLine):
+            words = reply.text.split(" ")
+            wait = float(words[1]) if len(words) > 1 and words[1].isdigit() else 0.0
+        return one.answer, wait
--- /dev/null
+++ b/mapleshunt/rig/summary.py
@@ -0,0 +1,57 @@
+"""What became of the requests of a run, and why: from the record of what crossed the sockets."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from ..model.record import TryRecord
+from ..world.quota import Store
+from .fleet import Fleet
+
+NO_ANSWER = "no answer"
+UNREACHABLE = "no gateway"
+
+
+def final(one: TryRecord) -> str:
+    """served, refused, failed; or why there was no answer."""
+    if one.answer is not None:
+        return str(one.answer)
+    return NO_ANSWER if one.taken else UNREACHABLE
+
+
+def why(one: TryRecord, room: bool) -> str:
+    """The reason for a try's end, as far as it shows on the wire."""
+    last = one.attempts[-1].status if one.attempts else None
+    if one.answer == "served":
+        return "first attempt" if len(one.attempts) == 1 else "further attempt"
+    if one.answer == "refused":
+        if one.attempts:
+            return "till servers full" if last == "full" else f"attempt ended: {last or 'out'}"
+        return "no slot in time, or no word of its quota" if room else "beyond the quota"
+    if one.answer == "failed":
+        return f"attempt ended: {last or 'out'}" if one.attempts else "nothing was sent"
+    if not one.taken:
+        return "connection refused"
+    return "its gateway was down" if one.attempts or one.known else "lost"
+
+
+def reasons(fleet: Fleet) -> dict[str, Counter[str]]:
+    """Counts of tries by final answer and reason."""
+    found: dict[str, Counter[str]] = {name: Counter() for name in ("served", "refused", "failed")}
+    stores: dict[int, Store] = {}
+    plans, customers = fleet.day.figures.plans, fleet.day.traffic.customers
+    for one in fleet.watchman.tries:
+        plan = plans[customers[one.ask.customer].plan]
+        store = stores.setdefault(one.ask.customer, Store(plan.rate, plan.burst))
+        room = store.fill(one.sent) >= one.ask.guess
+        found.setdefault(final(one), Counter())[why(one, room)] += 1
+        if one.inside:
+            store.take(one.sent, one.ask.units)
+    return found
+
+
+def exactly_once(fleet: Fleet) -> bool:
+    """Did every request that a gateway took get one final answer, and no connection bring a second?"""
+    return not fleet.clients.strange and all(
+        one.answer is not None for one in fleet.watchman.tries if one.taken
+    )
--- /dev/null
+++ b/mapleshunt/rig/tills.py
@@ -0,0 +1,233 @@
+"""Till servers on sockets: RESP2 before the world's state machine, and what arrives at them on record."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import add_accept_handler
+
+from ..model.record import AttemptRecord, TryRecord
+from ..net import resp
+from ..net.buffer import ReadBuffer, TooLong
+from ..world.till import TillServer, Work
+
+if TYPE_CHECKING:
+    from .fleet import Fleet
+
+HOST = "127.0.0.1"
+
+
+@dataclass(slots=True, eq=False)
+class Out:
+    """An attempt that is out, on the connection it came by."""
+
+    one: TryRecord
+    attempt: AttemptRecord
+    stream: IOStream
+    done: asyncio.Future[str] = field(default_factory=lambda: asyncio.get_running_loop().create_future())
+
+
+class Till:
+    """One till server. Its address stays the same when its process comes back."""
+
+    def __init__(self, machine: TillServer, fleet: Fleet) -> None:
+        self.machine, self.fleet = machine, fleet
+        self.listener = bound(0)
+        self.port: int = self.listener.getsockname()[1]
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.listening: Callable[[], None] | None = None
+        self.listen()
+        self.streams: set[IOStream] = set()
+        self.held: dict[Work, Out] = {}
+        self.alarm: asyncio.TimerHandle | None = None
+        self.alarm_at = float("inf")
+
+    # Life
+
+    def listen(self) -> None:
+        self.listener.listen(512)
+        self.listening = add_accept_handler(self.listener, self._accept)
+
+    def stop(self) -> None:
+        """Take no more connections: new ones are refused."""
+        if self.listening is not None:
+            self.listening()
+            self.listening = None
+        self.listener.close()
+
+    def _accept(self, connection: socket.socket, address: object) -> None:
+        task = asyncio.get_running_loop().create_task(self.handle_stream(IOStream(connection)))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def close_all(self) -> None:
+        """Connections break as when a process dies: whoever is out on them gets a reset."""
+        self.held = {}
+        for stream in list(self.streams):
+            raw = stream.socket
+            if raw is not None:
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+            stream.close()
+        self.streams.clear()
+
+    def die(self) -> None:
+        self._ended(self.machine.advance(self.fleet.clock.now()))
+        self.stop()
+        self.listener = bound(self.port)  # held and not listening: whoever comes is refused
+        self.machine.crash(self.fleet.clock.now())
+        self.close_all()
+
+    def fall_silent(self) -> None:
+        self._ended(self.machine.advance(self.fleet.clock.now()))
+        self.machine.silent, self.machine.due = True, float("inf")
+
+    def come_back(self) -> None:
+        if self.machine.silent:
+            self.die()
+        self.listen()
+        self.machine.start(self.fleet.clock.now())
+
+    # Connections
+
+    async def handle_stream(self, stream: IOStream) -> None:
+        machine, clock = self.machine, self.fleet.clock
+        if len(self.streams) >= machine.conn_cap:
+            stream.close()
+            return
+        self.streams.add(stream)
+        machine.connections = len(self.streams)
+        machine.extra(clock.now(), self.fleet.handshake)
+        self._plan()
+        buffer, current = ReadBuffer(resp.MAX_MESSAGE), list[Out]()
+        stream.set_close_callback(lambda: self._closed(stream, current))
+        try:
+            while True:
+                while found := resp.parse_command(buffer.data, buffer.start, buffer.end):
+                    buffer.consume(found[1])
+                    await self._command(stream, found[0], current)
+                await buffer.fill(stream)
+        except (StreamClosedError, resp.ProtocolError, TooLong):
+            stream.close()
+
+    def _closed(self, stream: IOStream, current: list[Out]) -> None:
+        self.streams.discard(stream)
+        self.machine.connections = len(self.streams)
+        for out in current:
+            self.give_up(out)
+
+    def give_up(self, out: Out) -> None:
+        """Its gateway has ended the connection."""
+        if out.attempt.status is None:
+            out.attempt.status = "cancelled"
+            out.attempt.work.cancelled = True
+            self.machine.cancel(self.fleet.clock.now(), out.attempt.work)
+            self.held.pop(out.attempt.work, None)
+            if not out.done.done():
+                out.done.set_result("cancelled")
+
+    async def _command(self, stream: IOStream, words: list[memoryview], current: list[Out]) -> None:
+        if bytes(words[0]) not in (b"SVC.QUERY", b"SVC.SUBMIT") or len(words) < 4:
+            await stream.write(
+                b"+PONG\r\n" if bytes(words[0]) == b"PING" else resp.error("ERR unknown command")
+            )
+            return
+        fleet, clock = self.fleet, self.fleet.clock
+        found = fleet.by_id.get(bytes(words[2]).decode("latin-1"))
+        if found is None:
+            fleet.strangers += 1
+            await stream.write(resp.error("SYNTAX no client sent this"))
+            return
+        one, now = found[0], clock.now()
+        for earlier in fleet.out.get(one.ref, ()):
+            if gone(earlier.stream):  # it has ended before this one came, though its end is not yet read
+                fleet.give_up(earlier)
+        work = fleet.work(one, len(one.attempts))
+        attempt = AttemptRecord(self.machine.number, self.machine.cell, now, work, now)
+        fleet.watchman.sending(one, attempt, one.gateway, now)
+        one.attempts.append(attempt)
+        fleet.books.arrived(one, now)
+        out = Out(one, attempt, stream)
+        fleet.out.setdefault(one.ref, []).append(out)
+        current[:] = [out]
+        word: str | None
+        if self.machine.silent:
+            word = None
+        else:
+            fallen = self.machine.fallen
+            told = fleet.watchman.knows_start(one.gateway, self.machine.number, self.machine.started)
+            word, ended = self.machine.offer(now, work, told)
+            self._ended(ended)
+            if self.machine.fallen and not fallen:
+                fleet.fell(self)
+                return
+        if word is None:
+            self.held[work] = out
+            self._plan()
+            word = await out.done
+            if word == "cancelled":
+                return
+        out.attempt.status = word
+        fleet.ended(out)
+        current.clear()
+        if word == "full":
+            await stream.write(resp.error("BUSY"))
+        elif word == "error":
+            await stream.write(resp.error("ERR failed"))
+        else:
+            fleet.books.settled(one, clock.now())
+            report = self.machine.report(clock.now())
+            load = f"qps={report.qps:.0f},latency_ms={report.latency:.0f},inflight={report.inflight:.0f}"
+            value = b"%s by %d" % (bytes(words[2]), self.machine.number)
+            cost = f"cost={one.ask.units:.0f}".encode()
+            await stream.write(b"*3\r\n" + resp.bulk(value) + resp.bulk(cost) + resp.bulk(load.encode()))
+
+    # The machine's time
+
+    def _ended(self, works: list[Work]) -> None:
+        for work in works:
+            if work.effect:
+                self.fleet.watchman.ran(work)
+            out = self.held.pop(work, None)
+            if out is not None and not work.cancelled and not out.done.done():
+                self.machine.took += self.fleet.clock.now() - (out.attempt.arrived or 0.0)
+                out.done.set_result(self.machine.answer(work))
+
+    def _plan(self) -> None:
+        if self.machine.due < self.alarm_at:
+            if self.alarm is not None:
+                self.alarm.cancel()
+            self.alarm_at = self.machine.due
+            self.alarm = self.fleet.clock.at(self.machine.due, self._due)
+
+    def _due(self) -> None:
+        self.alarm, self.alarm_at = None, float("inf")
+        if self.machine.up and not self.machine.silent:
+            self._ended(self.machine.advance(self.fleet.clock.now()))
+            self._plan()
+
+
+def gone(stream: IOStream) -> bool:
+    """Has the other side ended this connection, whether or not that has been read?"""
+    raw: socket.socket | None = stream.socket
+    if stream.closed() or raw is None:
+        return True
+    try:
+        return raw.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def bound(port: int) -> socket.socket:
+    """A socket that holds a port of the loopback, 0 for a new one."""
+    one = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    one.setblocking(False)
+    one.bind((HOST, port))
+    return one
--- a/mapleshunt/terms.py
+++ b/mapleshunt/terms.py
@@ -74,3 +74,41 @@
         cold=rules.get("Cold") or 0.0,
         tip_after=rules.get("TipAfter") or 0.0,
     )
+
+
+def wire_of(settings: i.Settings, **limits: Any) -> dict[str, Any]:
+    """The object that `settings_of` reads, for hosts that hand it out; `limits` go to `PolicyLimits`."""
+    effects = {value: key for key, value in EFFECTS.items()}
+    return {
+        "Me": settings.me,
+        "NInstances": settings.instances,
+        "Zone": settings.zone,
+        "Quantum": settings.tick,
+        "Discovery": "on_request" if settings.ask_discovery else "pushed",
+        "RequestClasses": [
+            {
+                "Name": c.name, "Slo": c.aim, "Deadline": c.deadline, "Effect": effects[c.effect],
+                "Group": c.group, "Window": c.window, "LateValue": c.late_worth, "Stream": c.stream,
+            }
+            for c in settings.classes.values()
+        ],
+        "Packages": [
+            {
+                "Name": p.name, "QuotaRate": p.rate, "Burst": p.burst, "AtOnce": p.open_limit,
+                "HardRate": p.ceiling_rate, "HardBurst": p.ceiling_burst,
+            }
+            for p in settings.plans.values()
+        ],
+        "PolicyLimits": {
+            "MaxAttempts": settings.max_attempts, "MaxRetryAfter": settings.max_retry_after,
+            "RetryAfter": settings.retry_after, "SecondCopies": settings.second_copies,
+            "MayCancel": settings.can_cancel, "PeerMessages": settings.peers, **limits,
+        },
+        "Invariants": {
+            "AskWithin": settings.ask_within, "ColdFrom": settings.cold_from, "Cold": settings.cold,
+            "TipAfter": settings.tip_after,
+        },
+        "Specifics": {
+            "MailPerS": settings.mail_per_s, "CostAfter": settings.settles, "Largest": settings.largest,
+        },
+    }  # fmt: skip
--- /dev/null
+++ b/tests/test_rig.py
@@ -0,0 +1,133 @@
+"""The rig: real gateways on loopback, faults on sockets, and that it sees rules broken by a bad program."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from mapleshunt.model.day import Scenario, day_of, sized
+from mapleshunt.model.scenarios import SCENARIOS
+from mapleshunt.rig import fleet, summary
+from mapleshunt.rig.gateways import GatewayFailed
+from mapleshunt.world.faults import Fault
+
+ROOT = Path(__file__).parent.parent
+
+
+def scenario(*faults: Fault, seconds: float = 4.0, **changes: Any) -> Scenario:
+    base = sized(SCENARIOS["quiet"], gateways=2, servers=4, seconds=seconds)
+    return replace(base, troubles=lambda rng, scenario: list(faults), **changes)
+
+
+def test_demo_answers_every_request_exactly_once() -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", "mapleshunt", "demo", "--seconds", "2", "--json"],
+        cwd=ROOT,
+        text=True,
+        capture_output=True,
+    )
+    found = json.loads(done.stdout)
+    assert done.returncode == 0 and found["exactly_one"] is True
+    assert (
+        found["served"] > 50 and sum(found[k] for k in ("served", "refused", "failed")) == found["requests"]
+    )
+    assert not any(found["rules"].values())
+
+
+def test_a_gateway_killed_with_requests_open_a_crash_and_a_drain_break_no_rule(tmp_path: Path) -> None:
+    day = day_of(scenario(
+        Fault(800, "crash", 1200, (0,)), Fault(1000, "restart", 600, (1,)), Fault(1500, "drain", 300, (1,)),
+        Fault(1200, "add", size=1), Fault(500, "loss", 2000, size=0.5), Fault(600, "counter_down", 900),
+        fixed={"notice_ms": 300, "add_ms": 100, "front_notice_ms": 400},
+    ), 5)  # fmt: skip
+    found, score = fleet.play(day, tmp_path)
+    assert not any(score.rules.values()), score.stories
+    tries = found.watchman.tries
+    assert any(t.gateway == 1 and t.taken and t.answer is None for t in tries), "nothing was open at the kill"
+    assert all(t.answer is not None for t in tries if t.taken and t.gateway == 0)
+    assert any(t.gateway == 1 and t.answer is not None and t.sent > 1700 for t in tries), "it is back"
+    assert found.gateways[1].starts == 2 and found.strangers == 0 and found.too_long == 0
+    after = [a for t in tries for a in t.attempts if a.server == 1 and a.sent > 1500 + 300 + 550 + 400]
+    assert not after, "sent to a draining server"
+    assert any(a.server == 4 for t in tries for a in t.attempts), "the new server was not used"
+    assert summary.exactly_once(found) is False  # the kill left some without an answer, and that shows
+
+
+def test_a_silent_machine_is_left_alone_and_found_again(tmp_path: Path) -> None:
+    fault = Fault(500, "silent", 1500, (0,))
+    day = day_of(scenario(fault, seconds=5.0, fixed={"silent_notice_ms": 5000, "add_ms": 100}), 6)
+    found, score = fleet.play(day, tmp_path)
+    assert not any(score.rules.values()), score.stories
+    at = [a.sent for t in found.watchman.tries for a in t.attempts if a.server == 0]
+    assert sum(1200 < one < 2000 for one in at) < sum(one < 500 for one in at)
+    assert any(one > 2500 for one in at)
+
+
+def test_a_planned_leave_loses_nothing(tmp_path: Path) -> None:
+    day = day_of(scenario(Fault(1000, "leave", 500, (0,)), seconds=3.0), 7)
+    found, score = fleet.play(day, tmp_path)
+    assert not any(score.rules.values()), score.stories
+    assert all(t.answer is not None for t in found.watchman.tries if t.taken)
+
+
+def checkout(tmp_path: Path, old: str, new: str, name: str = "control.py") -> Path:
+    """A copy of the program with one line changed."""
+    target = tmp_path / "program"
+    for source in (ROOT / "mapleshunt").rglob("*.py"):
+        place = target / source.relative_to(ROOT)
+        place.parent.mkdir(parents=True, exist_ok=True)
+        text = source.read_text()
+        if source.name == name and old in text:
+            text = text.replace(old, new)
+            old = ""
+        place.write_text(text)
+    assert old == "", "the line to change is not there"
+    return target
+
+
+TWICE = """        self.actions.append(i.Send(job.ref, server.entry.server))
+        if len(job.attempts) == 1:
+            job.attempts = [*job.attempts, Attempt(server, self.now)]
+            self.actions.append(i.Send(job.ref, server.entry.server))
+"""
+BAD = {
+    "two_out": ("control.py", "        self.actions.append(i.Send(job.ref, server.entry.server))\n", TWICE),
+    "lost": ("relay.py", "        context.answer.serve(value)\n",
+             "        context.answer.serve(memoryview(b'nonsense'))\n"),
+    "drain": ("control.py", 's.entry.state == "ready"', 's.entry.state in ("ready", "draining")'),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("rule", BAD)
+def test_the_rig_sees_a_bad_program_break_a_rule(tmp_path: Path, rule: str) -> None:
+    name, old, new = BAD[rule]
+    day = day_of(scenario(Fault(300, "drain", 100, (0,)), seconds=2.5), 8)
+    _, score = fleet.play(day, tmp_path / "logs", checkout(tmp_path, old, new, name))
+    assert score.rules[rule] > 0, score.rules
+
+
+def test_a_program_that_does_not_start_or_ends_is_told_in_a_line(tmp_path: Path) -> None:
+    day = day_of(scenario(seconds=2.0), 9)
+    broken = checkout(
+        tmp_path / "a",
+        "def daemon() -> int:\n",
+        "def daemon() -> int:\n    raise SystemExit(3)\n",
+        "__main__.py",
+    )
+    with pytest.raises(GatewayFailed, match="ended at its start"):
+        fleet.play(day, tmp_path / "logs", broken)
+    dies = checkout(
+        tmp_path / "b",
+        "        self._carry_out(actions)\n",
+        "        self._carry_out(actions)\n        if len(self.open) > 2:\n            import os\n\n"
+        "            os._exit(4)\n",
+        "driver.py",
+    )
+    with pytest.raises(GatewayFailed, match="ended by themselves"):
+        fleet.play(day, tmp_path / "logs", dies)
