Record the traffic that a gateway meets, asked for in an operators' file

Need: the model is to be fed with real traffic, and nothing kept what a gateway met.

Change: mapleshunt/record writes each request that is over (hashed customer, units guessed and true, tries with server, outcome and time) to a file of a bounded size in which old blocks go first; what is damaged or cut off is told, and the rest read. mapleshunt/settings reads the operators' file in S-expressions; what is wrong is one message with file, line and column. Both are loaded only where PROXY_OPERATORS names a file.

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import contextlib
+import os
 import signal
 import socket
 import sys
+from pathlib import Path
+from typing import TYPE_CHECKING
 
 import uvloop
 from tornado.ioloop import IOLoop, PeriodicCallback
@@ -22,6 +25,9 @@
 from .net.peers import Peers
 from .net.upstream import UpstreamGroup
 
+if TYPE_CHECKING:
+    from .record.writer import Recorder
+
 STAY = 0.5  # s after SIGTERM for which new connections are still taken
 BACKLOG = 512  # connections that wait in the kernel to be accepted
 ACCEPT_AT_ONCE = 8
@@ -53,6 +59,7 @@
         # A client that does not read may make the gateway hold this much: no more than a part of its memory.
         self.most_unwritten = min(client.MOST_UNWRITTEN, max(4 * resp.MAX_VALUE, config.memory // 64))
         self.service.ended = self.resume_accepting
+        self.recorder: Recorder | None = None
 
     def ready(self) -> bool:
         return bool(self.group.servers)
@@ -125,9 +132,32 @@
             self.listeners = bind_sockets(port, host, backlog=BACKLOG)
         except (ValueError, OSError) as error:
             raise ConfigError(f"cannot start: {error}") from None
+        self.switch_on()
         self.start_accepting()
         log.say("started", name=config.name, listen=f"{host}:{port}", servers=len(self.group.servers))
 
+    def switch_on(self) -> None:
+        """What the operators' file asks for; without one nothing of it is loaded. Raises `ConfigError`."""
+        if not os.environ.get("PROXY_OPERATORS"):
+            return
+        from .settings import operators
+
+        try:
+            chosen = operators.load(Path(os.environ["PROXY_OPERATORS"]))
+            if chosen.record is not None:
+                from .record.writer import Recorder
+
+                size, salt = int(chosen.record.size_mb * (1 << 20)), chosen.record.salt.encode()
+                path = Path(chosen.record.file.replace("{name}", self.config.name))
+                self.recorder = Recorder(path, size, salt, self.config.settings, self.driver.now())
+                self.recorder.start()
+                self.driver.seen = self.recorder.seen
+                log.say("recording", path=path, bytes=size)
+        except (ValueError, OSError) as error:
+            raise ConfigError(str(error)) from None
+        except ModuleNotFoundError as error:
+            raise ConfigError(f"the operators' settings need the extra 'tools' ({error})") from None
+
     def watch(self, agent: Address) -> None:
         """Follow this discovery agent, and no longer the one before."""
         if self.watching is not None:
@@ -174,6 +204,8 @@
         self.group.close()
         if self.peers is not None:
             self.peers.close()
+        if self.recorder is not None:
+            self.recorder.close()
         self.print_counters()
 
     async def leave(self) -> None:
--- a/mapleshunt/cli/__init__.py
+++ b/mapleshunt/cli/__init__.py
@@ -28,9 +28,9 @@
 
 
 def _commands() -> None:
-    from . import model, rig
+    from . import model, record, rig
 
-    for command in (model.model, rig.rig, rig.demo):
+    for command in (model.model, rig.rig, rig.demo, record.record, record.settings):
         root.add_command(command)
 
 
--- a/mapleshunt/net/context.py
+++ b/mapleshunt/net/context.py
@@ -68,6 +68,9 @@
     connection: Connection | None = None
     given_up: i.Status | None = None
     task: asyncio.Task[None] | None = None
+    status: str = "out"  # how it ended
+    took: float = 0.0  # ms
+    cost: float = 0.0  # true units, as told
 
     def give_up(self, status: i.Status) -> None:
         """Stop waiting. The connection ends too: an answer still to come on it would be the next try's."""
@@ -89,6 +92,8 @@
     tries: list[Try] = field(default_factory=list)
     guard: asyncio.TimerHandle | None = None
     open: bool = True  # the final answer is still owed
+    final: str = "gone"  # served, refused or failed once it was given
+    ended: float = 0.0  # on the driver's clock; known where requests are recorded
 
     @property
     def due(self) -> float:
--- a/mapleshunt/net/driver.py
+++ b/mapleshunt/net/driver.py
@@ -45,6 +45,7 @@
         self.out: dict[tuple[int, int], Try] = {}  # tries that have not ended
         self.events: deque[i.Event] = deque()
         self.busy = False
+        self.seen: Callable[[RequestContext], None] | None = None  # told of requests that are over, if any is
         self._carry_out(self.gateway.start())
 
     # Events
@@ -61,10 +62,23 @@
             self.counters.add("clients_gone")
             self.forget(context)
             self.feed(i.ClientGone(context.ref))
+            self.over(context)
 
     def forget(self, context: RequestContext) -> None:
         self.open.pop(context.ref, None)
 
+    def over(self, context: RequestContext) -> None:
+        """Something of a request has ended: tell of it once nothing of it is left."""
+        if self.seen is None or context.open:
+            return
+        context.ended = context.ended or self.now()
+        if not any((context.ref, one.number) in self.out for one in context.tries):
+            try:
+                self.seen(context)
+            except Exception:
+                self.counters.add("exceptions")
+                log.trouble("record_exception", ref=context.ref)
+
     def feed(self, event: i.Event) -> None:
         """Handle an event and what it leads to. Events that come up meanwhile follow in their order."""
         self.events.append(event)
@@ -86,6 +100,7 @@
             log.trouble("decision_exception", kind=type(event).__name__)
             if isinstance(event, i.Request | i.Outcome) and (context := self.open.pop(event.ref, None)):
                 relay.fail(context, self.counters)
+                self.over(context)
             return
         self._carry_out(actions)
 
@@ -97,6 +112,7 @@
             self.forget(context)
             relay.fail(context, self.counters)
             self.feed(i.ClientGone(context.ref))
+            self.over(context)
 
     # Actions
 
@@ -115,9 +131,11 @@
             case i.Refuse(ref, wait):
                 if context := self.open.pop(ref, None):
                     relay.reject(context, wait, self.counters)
+                    self.over(context)
             case i.Fail(ref):
                 if context := self.open.pop(ref, None):
                     relay.fail(context, self.counters)
+                    self.over(context)
             case i.Cancel(ref, number):
                 if attempt := self.out.get((ref, number)):
                     attempt.give_up("cancelled")
@@ -162,3 +180,4 @@
             limit.cancel()
         del self.out[context.ref, attempt.number]
         book(context, attempt, ending, self)
+        self.over(context)
--- a/mapleshunt/net/stages/admit.py
+++ b/mapleshunt/net/stages/admit.py
@@ -15,5 +15,6 @@
     driver.counters.add("requests_taken")
     if len(driver.open) >= most:  # memory is bounded; nothing was sent, so asking again is harmless
         relay.reject(context, driver.settings.max_retry_after, driver.counters)
+        driver.over(context)
     else:
         driver.take(context)
--- a/mapleshunt/net/stages/book.py
+++ b/mapleshunt/net/stages/book.py
@@ -17,6 +17,9 @@
     if ending.value is not None and context.open:
         relay.serve(context, ending.value, driver.counters)
         driver.forget(context)
+    attempt.status, attempt.took = ending.status, driver.now() - attempt.sent
+    # No request counts more than the settings' largest: such a figure is unreadable.
+    attempt.cost = ending.cost if ending.cost <= driver.settings.largest else 0.0
     driver.feed(
         i.Outcome(
             ref=context.ref,
@@ -24,8 +27,7 @@
             closed=not context.open,
             attempt=attempt.number,
             server=attempt.server,
-            latency=driver.now() - attempt.sent,
-            # No request counts more than the settings' largest: such a figure is unreadable.
-            cost=ending.cost if ending.cost <= driver.settings.largest else 0.0,
+            latency=attempt.took,
+            cost=attempt.cost,
         )
     )
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -13,6 +13,7 @@
 
 from mapleshunt.model.day import Scenario, day_of, sized
 from mapleshunt.model.scenarios import SCENARIOS
+from mapleshunt.record import form
 from mapleshunt.rig import fleet, summary
 from mapleshunt.rig.gateways import GatewayFailed
 from mapleshunt.world.faults import Fault
@@ -131,3 +132,24 @@
     )
     with pytest.raises(GatewayFailed, match="ended by themselves"):
         fleet.play(day, tmp_path / "logs", dies)
+
+
+def test_gateways_record_what_crossed_the_sockets(tmp_path: Path) -> None:
+    (tmp_path / "o.sexp").write_text(f'(record (file "{tmp_path}/{{name}}.rec") (salt "s"))')
+    day = day_of(scenario(seconds=2.0, rate=60.0), 10)
+    found, _ = fleet.play(day, tmp_path, env={"PROXY_OPERATORS": str(tmp_path / "o.sexp")})
+    rows = [row for n in range(2) for row in form.read((tmp_path / f"n{n}.rec").read_bytes()).rows]
+    tries = [t for t in found.watchman.tries if t.taken]
+    assert len(rows) == len(tries)
+    for final in ("served", "refused", "failed"):
+        assert sum(r.final == final for r in rows) == sum(t.answer == final for t in tries)
+    sent = [a for r in rows for a in r.attempts if a.status != "unsent"]
+    assert abs(len(sent) - sum(len(t.attempts) for t in tries)) <= 2
+    assert sum(r.cost for r in rows) == sum(t.ask.units for t in tries if t.answer == "served")
+
+
+def test_an_operators_file_that_makes_no_sense_is_one_line_and_exit_status_2(tmp_path: Path) -> None:
+    (tmp_path / "o.sexp").write_text("(record (file 3))")
+    day = day_of(scenario(seconds=1.0), 9)
+    with pytest.raises(GatewayFailed, match=r"mapleshunt: .*o\.sexp:1:15: file: expected `str`, got `int`"):
+        fleet.play(day, tmp_path, env={"PROXY_OPERATORS": str(tmp_path / "o.sexp")})
