--- a/mapleshunt/model/engine.py
+++ b/mapleshunt/model/engine.py
@@ -76,6 +76,7 @@
         self.asks = [AskRecord(ask) for ask in day.traffic.asks]
         self.records: dict[int, AskRecord] = {}  # by the number of an open request
         self.books = Books(day)
+        self.books.passed = self.watchman.ceiling
         self.buckets: dict[int, list[tuple[float, AskRecord, TryRecord]]] = {}  # patience that ends, by time
         self.refs = 0
         self.cells: list[Cell] = []
--- a/mapleshunt/model/record.py
+++ b/mapleshunt/model/record.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Literal
 
@@ -10,6 +11,7 @@
 from ..world.till import Work
 from .day import Day
 
+CEILING_SLACK = 0.1  # of a ceiling's burst by which its store may go below 0; the largest request at least
 Final = Literal["served", "refused", "failed", "unreachable", "late"]
 
 
@@ -61,6 +63,8 @@
         self.day = day
         self.plans = day.settings()[0].plans
         self.stores: dict[int, Store] = {}
+        self.ceilings: dict[int, Store] = {}
+        self.passed: Callable[[TryRecord, float], None] = lambda one, below: None  # told of broken ones
 
     def store(self, customer: int) -> Store:
         found = self.stores.get(customer)
@@ -70,9 +74,24 @@
         return found
 
     def arrived(self, one: TryRecord, now: float) -> None:
-        """An attempt is whole at a till server: the first one takes the try's units."""
-        if one.inside is None:
-            one.inside = self.store(one.ask.customer).take(now, one.ask.guess)
+        """An attempt is whole at a till server: the first one takes the try's units.
+
+        A plan's ceiling is a second store, which the guess is taken from, inside the quota or not.
+        """
+        if one.inside is not None:
+            return
+        one.inside = self.store(one.ask.customer).take(now, one.ask.guess)
+        name = self.day.figures.plans[self.day.traffic.customers[one.ask.customer].plan].name
+        plan = self.plans[name]
+        if plan.ceiling_rate:
+            held = self.ceilings.get(one.ask.customer)
+            if held is None:
+                held = self.ceilings[one.ask.customer] = Store(plan.ceiling_rate, plan.ceiling_burst)
+            held.fill(now)
+            held.level -= one.ask.guess
+            slack = max(CEILING_SLACK * plan.ceiling_burst, self.day.figures["most_units"])
+            if held.level < -slack:
+                self.passed(one, -held.level)
 
     def settled(self, one: TryRecord, now: float) -> None:
         """Its first good answer told the true units."""
--- a/mapleshunt/model/rules.py
+++ b/mapleshunt/model/rules.py
@@ -99,6 +99,9 @@
     def lost(self, one: TryRecord) -> None:
         self._break("lost", f"request {one.ref} got no answer")
 
+    def ceiling(self, one: TryRecord, below: float) -> None:
+        self._break("ceiling", f"request {one.ref} passed its customer's ceiling by {below:.1f} units")
+
     def pushed_over(self, till: TillServer) -> None:
         self.fell.append(till.number)
         if till.fault:
--- a/mapleshunt/model/variants.py
+++ b/mapleshunt/model/variants.py
@@ -1,8 +1,9 @@
 """What is compared: this version, another checkout, a plain policy, or other settings.
 
 `here`; `path:DIR` (another checkout's decisions, run in processes of its own); `policy:NAME`;
-`set:KEY=VALUE,...`, a key being a field of the gateways' settings, `plan.NAME.rate` or `plan.NAME.burst`, a
-constant of the decision module in capitals, or `world.NAME` for a figure of the world.
+`set:KEY=VALUE,...`, a key being a field of the gateways' settings, `plan.NAME.PART` (rate, burst,
+ceiling_rate, ceiling_burst), a constant of the decision module in capitals, or `world.NAME` for a figure of
+the world.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 from .engine import Factory
 from .policies import POLICIES
 
+PLAN_PARTS = ("rate", "burst", "ceiling_rate", "ceiling_burst")
 HERE = Path(__file__).parent.parent
 
 
@@ -74,8 +76,8 @@
             raise BadVariant(f"{key!r} is no figure of the world")
     elif key.startswith("plan."):
         parts = key.split(".")
-        if len(parts) != 3 or parts[1] not in figures.PLAN_SPANS or parts[2] not in ("rate", "burst"):
-            raise BadVariant(f"{key!r} is not plan.NAME.rate or plan.NAME.burst")
+        if len(parts) != 3 or parts[1] not in figures.PLAN_SPANS or parts[2] not in PLAN_PARTS:
+            raise BadVariant(f"{key!r} is not plan.NAME.PART with PART of {', '.join(PLAN_PARTS)}")
     elif key.isupper():
         from .. import control
 
--- a/mapleshunt/rig/fleet.py
+++ b/mapleshunt/rig/fleet.py
@@ -54,6 +54,7 @@
         self.zone = self.settings[0].zone
         self.habits = Habits(f, self.settings[0].max_retry_after)
         self.watchman, self.books = Watchman(day, self.settings[0]), Books(day)
+        self.books.passed = self.watchman.ceiling
         self.classes = [shape.name for shape in f.classes]
         self.effects = [CLASSES[name].get("effect", "safe") for name in self.classes]
         self.deadlines = [CLASSES[name]["deadline"] for name in self.classes]
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -166,6 +166,15 @@
     assert whole.over_quota > 0.1 > 0.04 > module.over_quota
 
 
+def test_a_ceiling_is_one_store_over_all_gateways_that_no_restart_fills() -> None:
+    changes = {"plan.standard.ceiling_rate": 9, "plan.standard.ceiling_burst": 30}
+    fault = Fault(4000, "restart", 500, (0,))
+    scenario = short("busy", 10.0, rate=150.0, settings=changes, troubles=lambda rng, scenario: [fault])
+    whole, module = played(scenario, 5, POLICIES["whole-quota"])[1], played(scenario, 5)[1]
+    assert whole.rules["ceiling"] > 0
+    assert module.rules["ceiling"] == 0, module.stories
+
+
 def test_policies_come_in_their_order_when_overloaded() -> None:
     """Slow servers make the overload: let-all is worst, the module best, on each of three days."""
     for seed in (1, 2, 3):
