Compile the package before its memory at start is measured in a test

Need: on a checkout that was never compiled the compiler's leavings put 0.7 MB on the daemon's memory at start, which left the test 0.2 MB under its limit.

Change: the test compiles the package first, as it is in service.

--- a/tests/test_daemon_loads.py
+++ b/tests/test_daemon_loads.py
@@ -26,6 +26,8 @@
 
 
 def test_the_daemon_starts_at_no_more_memory() -> None:
+    # Compiled before: what a compiler leaves in the daemon's memory is not the daemon's.
+    subprocess.run([sys.executable, "-m", "compileall", "-q", "mapleshunt"], cwd=ROOT, check=True)
     toy = run("-m", "examples.toy_server", "0")
     assert toy.stdout is not None
     discovery = toy.stdout.readline().split()[-1]
@@ -43,7 +45,7 @@
         time.sleep(0.2)
         status = Path(f"/proc/{gateway.pid}/status").read_text().splitlines()
         anonymous = next(int(line.split()[1]) for line in status if line.startswith("RssAnon"))
-        assert anonymous < MOST_KB
+        assert anonymous < MOST_KB, anonymous
     finally:
         for one in (gateway, toy):
             one.kill()
