--- a/mapleshunt/cli/model.py
+++ b/mapleshunt/cli/model.py
@@ -8,7 +8,7 @@
 
 import click
 
-from .output import Trouble, json_option, print_json, progress, table
+from .output import Trouble, json_option, print_json, progress, service_rows, table
 
 
 @click.group()
@@ -143,9 +143,7 @@
         print_json(found.as_dict())
         return
     table(["figure", "value"], [
-        ["service", found.service], ["whole day", found.whole], ["worst 10 s", found.worst_window],
-        ["worst plan", found.worst_plan], *[[f"penalty, {k}", v] for k, v in found.penalties.items()],
-        *[[f"broken rule, {k}", v] for k, v in found.rules.items()],
+        *service_rows(found),
         ["first tries", found.requests], ["tries", found.tries], ["served", found.served],
         ["refused", found.refused], ["failed", found.failed], ["median answer, ms", found.p50_ms],
         ["99th percentile, ms", found.p99_ms], ["events", found.events], ["wall time, s", found.wall_s],
@@ -232,7 +230,7 @@
     as_json: bool,
 ) -> None:
     """A figure over the values of one or two settings."""
-    from ..model.experiments import finite
+    from ..model.experiments import plain
     from ..model.experiments import sweep as sweep_settings
     from ..model.variants import pair
 
@@ -262,19 +260,7 @@
 
         plots.sweep(points, figure, f"{scenario}, {seeds} days a point", plot)
     if as_json:
-        print_json(
-            [
-                {
-                    "at": p.at,
-                    "errors": p.errors,
-                    "figures": {
-                        name: {k: finite(v) for k, v in one.as_dict().items()}
-                        for name, one in p.figures.items()
-                    },
-                }
-                for p in points
-            ]
-        )
+        print_json([{"at": p.at, "errors": p.errors, "figures": plain(p.figures)} for p in points])
         return
     rows = [
         [
--- a/mapleshunt/cli/output.py
+++ b/mapleshunt/cli/output.py
@@ -38,6 +38,15 @@
         click.echo("  ".join(cells).rstrip())
 
 
+def service_rows(found: Any) -> list[list[Any]]:
+    """How a day's table begins, in the model and on sockets: service, penalties, broken rules."""
+    return [
+        ["service", found.service], ["whole day", found.whole], ["worst 10 s", found.worst_window],
+        ["worst plan", found.worst_plan], *[[f"penalty, {k}", v] for k, v in found.penalties.items()],
+        *[[f"broken rule, {k}", v] for k, v in found.rules.items()],
+    ]  # fmt: skip
+
+
 def _word(value: Any) -> str:
     return f"{value:.4g}" if isinstance(value, float) else str(value)
 
--- a/mapleshunt/cli/rig.py
+++ b/mapleshunt/cli/rig.py
@@ -8,7 +8,7 @@
 import click
 
 from .model import scenario_named, sizes
-from .output import Trouble, json_option, print_json, table
+from .output import Trouble, json_option, print_json, service_rows, table
 
 
 @click.group()
@@ -65,9 +65,7 @@
         print_json({**found.as_dict(), **extra})
         return
     table(["figure", "value"], [
-        ["service", found.service], ["whole day", found.whole], ["worst 10 s", found.worst_window],
-        ["worst plan", found.worst_plan], *[[f"penalty, {k}", v] for k, v in found.penalties.items()],
-        *[[f"broken rule, {k}", v] for k, v in found.rules.items()], ["first tries", found.requests],
+        *service_rows(found), ["first tries", found.requests],
         ["served", found.served], ["refused", found.refused], ["failed", found.failed],
         ["median answer, ms", found.p50_ms], ["99th percentile, ms", found.p99_ms],
         ["CPU of the gateways, s", found.gateway_cpu_s], ["this process late at worst, ms", fleet.clock.late],
--- a/mapleshunt/model/check.py
+++ b/mapleshunt/model/check.py
@@ -22,9 +22,8 @@
 from .stats import prediction
 from .variants import Variant
 
-# The first is the one that is recorded; then (kind, times the recorded load).
-RECORDED = "quiet"
-DAYS = (("quiet", 1.0), ("payday", 1.0), ("crash", 1.0), ("roll", 1.0), ("counter", 1.0), ("silent", 1.0))
+RECORDED = "quiet"  # the kind of day that is recorded
+DAYS = ("quiet", "payday", "crash", "roll", "counter", "silent")  # those that are foretold
 WIDEST = 0.06  # of the bar on service
 LEVEL = 0.9
 SKIP = ("probes", "counter")  # of which the program makes none
@@ -128,7 +127,7 @@
             ),
             first + 1 + n,
         )
-        for n, (kind, _) in enumerate(kinds)
+        for n, kind in enumerate(kinds)
     ]
     say(f"playing {days} days on sockets, {at_once} at once")
     real = Parallel(n_jobs=at_once)(delayed(_played)(play, scenario, number) for scenario, number in tests)
--- a/mapleshunt/model/engine.py
+++ b/mapleshunt/model/engine.py
@@ -12,19 +12,14 @@
 from typing import Any, Protocol
 
 from .. import interface
-from ..world.chance import Draws, lognormal
-from ..world.clients import Habits
-from ..world.counter import Counter
-from ..world.discovery import Discovery, Entry
+from ..world.discovery import Entry
 from ..world.faults import Fault
-from ..world.network import Intake, Network
-from ..world.till import Cell, TillServer, Work
+from ..world.till import TillServer, Work
 from .agenda import Agenda
-from .day import CLASSES, Day
-from .record import AskRecord, AttemptRecord, Books, Final, TryRecord
-from .rules import Watchman
+from .day import Day
+from .host import Host
+from .record import AskRecord, AttemptRecord, Final, TryRecord
 
-NOISE = 4096  # places of the table of attempt noise
 BUCKET = 64.0  # ms
 SETTLE = 10.0  # ms after an answer for which the program does not use its connection again
 AFTER_TERM = 300.0  # ms after SIGTERM for which the front still sends to a gateway
@@ -42,94 +37,47 @@
 Factory = Callable[[Any, int, float], Decisions]
 
 
-class Engine:
+class Engine(Host):
     """Plays one day with one kind of gateway. `words` holds the types that the gateways speak."""
 
     def __init__(self, day: Day, factory: Factory, words: Any = interface) -> None:
-        self.day, self.factory, self.words = day, factory, words
-        f, streams = day.figures, day.streams
+        self.factory, self.words = factory, words
         self.agenda = Agenda()
-        self.network = Network(f, streams)
-        self.counter = Counter(f)
-        self.discovery = Discovery(f, streams.of("discovery"))
-        self.settings = day.settings(words)
-        self.habits = Habits(f, self.settings[0].max_retry_after)
-        self.watchman = Watchman(day, self.settings[0])
-        self.classes = [shape.name for shape in f.classes]
-        self.effects = [CLASSES[name].get("effect", "safe") for name in self.classes]
-        self.deadlines = [CLASSES[name]["deadline"] for name in self.classes]
-        count = day.scenario.gateways
+        self.wakes: dict[int, float] = {}
+        self.held: dict[int, dict[Work, tuple[int, TryRecord, AttemptRecord]]] = {}  # at each till server
+        super().__init__(day, words)
+        f, count = day.figures, day.scenario.gateways
         self.gateways: list[Decisions | None] = [None] * count
         self.epochs, self.busy = [0] * count, [0.0] * count
-        self.intakes = [Intake(self.settings[0].mail_per_s) for _ in range(count)]
-        self.lists: list[dict[int, Entry]] = [{} for _ in range(count)]
         self.open: list[dict[int, TryRecord]] = [{} for _ in range(count)]
         self.attempts: list[dict[tuple[int, int], tuple[TryRecord, AttemptRecord]]] = [
             {} for _ in range(count)
         ]
-        self.seen_down: set[int] = set()
-        self.leaving: set[int] = set()
         self.pools: list[dict[int, list[float]]] = [{} for _ in range(count)]  # idle connections: since when
-        self.tills: dict[int, TillServer] = {}
-        self.wakes: dict[int, float] = {}
-        self.held: dict[int, dict[Work, tuple[int, TryRecord, AttemptRecord]]] = {}  # at each till server
-        self.asks = [AskRecord(ask) for ask in day.traffic.asks]
         self.records: dict[int, AskRecord] = {}  # by the number of an open request
-        self.books = Books(day)
-        self.books.passed = self.watchman.ceiling
         self.buckets: dict[int, list[tuple[float, AskRecord, TryRecord]]] = {}  # patience that ends, by time
-        self.refs = 0
-        self.cells: list[Cell] = []
-        noise = streams.of("noise")
-        spread = [shape.noise for shape in f.classes]
-        self.noise = [lognormal(noise, 1.0, cv, NOISE).tolist() if cv else [1.0] * NOISE for cv in spread]
-        self.event_ms, self.dial_ms = f["event_ms"], f["dial_ms"]
-        self.rtts, self.handshake = f["handshake_rtts"], f["handshake_work"]
+        self.event_ms, self.dial_ms, self.rtts = f["event_ms"], f["dial_ms"], f["handshake_rtts"]
         self.idle_ms = f["conn_idle_ms"] / 3  # the program gives idle ones up well before till servers do
-        # What the score asks for, besides the records.
-        self.message_bytes = self.probes = self.counts = 0
-        self.events = 0
-        self.gateway_ns = 0
-        self.window = max(self.deadlines)
         self.acts: dict[Any, Callable[[int, Any, float], None]] = {
             words.Send: self._send, words.Refuse: self._refuse, words.Fail: self._fail,
             words.Cancel: self._cancel, words.SetTimer: self._timer, words.Tell: self._tell,
             words.Watch: lambda gateway, action, at: None, Count: self._count,
         }  # fmt: skip
-        self._build(f, streams)
-
-    def _build(self, f: Any, streams: Any) -> None:
-        speeds = streams.of("speeds")
-        size = max(1, round(f["cell_size"]))
-        for number in range(self.day.scenario.servers):
-            if number % size == 0:
-                self.cells.append(Cell(self.window))
-            speed = max(0.3, f["speed"] * (1 + f["speed_cv"] * float(speeds.standard_normal())))
-            self._add_till(number, speed, len(self.cells) - 1)
-        self.next_server = self.day.scenario.servers
-        for fault in self.day.faults:
+        for fault in day.faults:
             self.agenda.at(fault.at, self._strike, fault)
-        for number in range(len(self.gateways)):
-            self.lists[number] = dict(self.discovery.entries)
+        for number in range(count):
             self._start_gateway(number)
         if self.asks:
             self.agenda.at(self.asks[0].ask.at, self._arrive, 0)
 
-    def _add_till(self, number: int, speed: float, cell: int) -> TillServer:
-        errors = self.day.streams.of("errors", number)
-        till = TillServer(
-            number,
-            self.day.figures,
-            speed,
-            cell,
-            self.cells[cell],
-            Draws(errors.random),
-            self.day.rules.tip_after,
-            self.day.rules.fall_multiple,
-        )
-        self.tills[number], self.held[number], self.wakes[number] = till, {}, float("inf")
-        self.discovery.entries[number] = Entry(number, cell)
-        return till
+    def now(self) -> float:
+        return self.agenda.now
+
+    def at(self, when: float, call: Callable[..., None], *arguments: Any) -> None:
+        self.agenda.at(when, call, *arguments)
+
+    def _take_in(self, till: TillServer) -> None:
+        self.held[till.number], self.wakes[till.number] = {}, float("inf")
 
     # Running
 
@@ -156,7 +104,6 @@
         seed = self.day.streams.integer("gateway", number * 1000 + self.epochs[number])
         gateway = self.factory(self.settings[number], seed, now)
         self.gateways[number], self.busy[number] = gateway, now
-        self.leaving.discard(number)
         self._carry_out(number, gateway.start())
         rows = tuple(self._row(entry) for entry in self.lists[number].values())
         self.watchman.told_list(number, self.lists[number].values(), now)
@@ -229,19 +176,10 @@
         self._ask(self.asks[number], 1)
 
     def _ask(self, record: AskRecord, number: int) -> None:
-        ask, now = record.ask, self.agenda.now
-        deadline = self.deadlines[ask.cls]
-        left = ask.at + deadline - now
-        patience = min(ask.patience * deadline, left)
-        if patience <= 1:
+        one = self.new_try(record, number)
+        if one is None:
             return
-        pick = ask.pick if number == 1 else self.habits.elsewhere_pick(ask, number)
-        gateway = self.day.traffic.gateway(ask.customer, now, pick, len(self.gateways), self.seen_down)
-        self.refs += 1
-        record.tries = number
-        one = TryRecord(self.refs, ask, number, gateway, now, patience)
-        self.watchman.tries.append(one)
-        self.agenda.at(now + self.network.client.next(), self._taken, record, one)
+        self.agenda.at(one.sent + self.network.client.next(), self._taken, record, one)
 
     def _taken(self, record: AskRecord, one: TryRecord) -> None:
         if self.gateways[one.gateway] is None:
@@ -295,16 +233,9 @@
     def _client_told(self, record: AskRecord, one: TryRecord, told: Final, wait: float) -> None:
         if one.known:
             return
-        one.known = True
-        now, ask = self.agenda.now, one.ask
-        record.last, record.ended = told, now
-        if told == "served":
-            if record.served is None:
-                record.served, record.inside = now, bool(one.inside)
-            return
-        pause = self.habits.next_try(ask, one.number, told, wait, self.effects[ask.cls] == "safe")
+        pause = self.client_told(record, one, told, wait)
         if pause is not None:
-            self.agenda.at(now + pause, self._ask, record, one.number + 1)
+            self.agenda.at(self.agenda.now + pause, self._ask, record, one.number + 1)
 
     # Answers
 
@@ -331,17 +262,13 @@
         if one is None:
             self.watchman.sent_after_end(action.ref)
             return
-        ask, server = one.ask, action.server
+        server = action.server
         number = len(one.attempts)
         till = self.tills[server]
-        table = self.noise[ask.cls]
         until = one.sent + one.patience
         if action.timeout:
             until = min(until, at + action.timeout)
-        key = ask if self.effects[ask.cls] == "keyed" else None
-        work = Work(
-            (one.ref, number), ask.work * table[(ask.noise + number) % NOISE], until, key, ask.units, gateway
-        )
+        work = self.work(one, number, until)
         attempt = AttemptRecord(server, till.cell, at, work)
         self.watchman.sending(one, attempt, gateway, at)
         one.attempts.append(attempt)
@@ -393,7 +320,7 @@
         fallen = till.fallen
         word, ended = till.offer(now, attempt.work, told)
         if till.fallen and not fallen:
-            self._fell(till)
+            self.fell(till)
         self._finished(till, ended)
         if word is None:
             self.held[attempt.server][attempt.work] = (gateway, one, attempt)
@@ -484,17 +411,7 @@
 
     # Faults
 
-    def _strike(self, fault: Fault) -> None:
-        getattr(self, f"_on_{fault.kind}")(fault)
-
-    def _change(self, entry: Entry, silent: bool = False) -> None:
-        for at, gateway in self.discovery.change(self.agenda.now, entry, len(self.gateways), silent):
-            self.agenda.at(at, self._news, gateway, entry)
-
-    def _news(self, gateway: int, entry: Entry) -> None:
-        self.lists[gateway][entry.server] = entry
-        if entry.state == "gone":
-            del self.lists[gateway][entry.server]
+    def _told(self, gateway: int, entry: Entry) -> None:
         if self.gateways[gateway] is not None:
             self.watchman.told(gateway, entry, self.agenda.now)
             self._feed(gateway, self.words.Members("partial", (self._row(entry),)))
@@ -513,63 +430,23 @@
             if not work.cancelled:
                 self._back(*found, "reset")
 
-    def _on_crash(self, fault: Fault) -> None:
-        for number in fault.who:
-            till = self.tills[number]
-            self._finished(till, till.advance(self.agenda.now))
-            self._lose(till, till.crash(self.agenda.now))
-            # The list knows whether a process runs: it is told that this one is gone, and then of its start.
-            self._change(Entry(number, till.cell, "gone"))
-            if fault.lasts:
-                self.agenda.at(fault.end, self._come_back, number)
-
-    def _fell(self, till: TillServer) -> None:
-        """Pushed over while cold: it stays down."""
-        self.watchman.pushed_over(till)
+    def _die(self, number: int) -> None:
+        till = self.tills[number]
+        self._finished(till, till.advance(self.agenda.now))
         self._lose(till, till.crash(self.agenda.now))
-        self._change(Entry(till.number, till.cell, "gone"))
 
-    def _come_back(self, number: int) -> None:
+    def _fall_silent(self, number: int) -> None:
+        till = self.tills[number]
+        self._finished(till, till.advance(self.agenda.now))
+        till.silent, till.due = True, float("inf")
+
+    def _start_again(self, number: int) -> None:
         till = self.tills[number]
-        if till.fallen:
-            return
         if till.silent:
             self._lose(till, till.crash(self.agenda.now))
         till.start(self.agenda.now)
-        self._change(Entry(number, till.cell, "ready", self.agenda.now))
-
-    def _on_silent(self, fault: Fault) -> None:
-        for number in fault.who:
-            till = self.tills[number]
-            self._finished(till, till.advance(self.agenda.now))
-            till.silent, till.due = True, float("inf")
-            self._change(Entry(number, till.cell, "gone"), silent=True)
-            if fault.lasts:
-                self.agenda.at(fault.end, self._come_back, number)
-
-    def _on_drain(self, fault: Fault) -> None:
-        for number in fault.who:
-            self._change(Entry(number, self.tills[number].cell, "draining", self.tills[number].started))
-            self.agenda.at(fault.end + 2 * self.window, self._gone, number)
-
-    def _gone(self, number: int) -> None:
-        till = self.tills[number]
-        self._finished(till, till.advance(self.agenda.now))
-        self._lose(till, till.crash(self.agenda.now))
-        self._change(Entry(number, till.cell, "gone"))
-
-    def _on_add(self, fault: Fault) -> None:
-        speeds = self.day.streams.of("added", int(fault.at))
-        f = self.day.figures
-        for _ in range(int(fault.size)):
-            number, self.next_server = self.next_server, self.next_server + 1
-            speed = max(0.3, f["speed"] * (1 + f["speed_cv"] * float(speeds.standard_normal())))
-            till = self._add_till(number, speed, len(self.cells) - 1)
-            till.start(self.agenda.now)
-            self._change(Entry(number, till.cell, "ready", self.agenda.now))
 
     def _kill(self, number: int) -> None:
-        """A gateway dies with all it holds."""
         if self.gateways[number] is None:
             return
         now = self.agenda.now
@@ -604,11 +481,6 @@
         if self.gateways[number] is None:
             self._start_gateway(number)
 
-    def _on_restart(self, fault: Fault) -> None:
-        for number in fault.who:
-            self._kill(number)
-            self.agenda.at(fault.end, self._revive, number)
-
     def _on_leave(self, fault: Fault) -> None:
         for number in fault.who:
             stop = self.agenda.now + AFTER_TERM
@@ -616,39 +488,6 @@
             self.agenda.at(stop + self.window, self._kill, number)
             self.agenda.at(stop + self.window + fault.lasts, self._revive, number)
 
-    def _on_burst(self, fault: Fault) -> None:
-        """Drawn into the traffic."""
-
-    def _on_counter_down(self, fault: Fault, how: Any = "refusing") -> None:
-        self.counter.down = how
-        self.agenda.at(fault.end, self._counter_back, fault.size > 0.5)
-
-    def _on_counter_silent(self, fault: Fault) -> None:
-        self._on_counter_down(fault, "silent")
-
-    def _counter_back(self, empty: bool) -> None:
-        self.counter.down = ""
-        if empty:
-            self.counter.empty()
-
-    def _on_counter_slow(self, fault: Fault) -> None:
-        self.counter.slower = fault.size
-        self.agenda.at(fault.end, self._set_slower, 1.0)
-
-    def _set_slower(self, times: float) -> None:
-        self.counter.slower = times
-
-    def _on_counter_split(self, fault: Fault) -> None:
-        self.counter.split(frozenset(fault.who))
-        self.agenda.at(fault.end, self.counter.split, frozenset())
-
-    def _on_loss(self, fault: Fault) -> None:
-        before, self.network.loss = self.network.loss, fault.size
-        self.agenda.at(fault.end, self._set_loss, before)
-
-    def _set_loss(self, loss: float) -> None:
-        self.network.loss = loss
-
 
 # The counter's call and its answer, which the decisions do not make yet; plain policies do.
 
--- a/mapleshunt/model/experiments.py
+++ b/mapleshunt/model/experiments.py
@@ -109,9 +109,6 @@
     errors: dict[str, list[str]] = field(default_factory=dict)
 
     def as_dict(self) -> dict[str, Any]:
-        def plain(rows: dict[str, Interval]) -> dict[str, Any]:
-            return {name: {k: finite(v) for k, v in one.as_dict().items()} for name, one in rows.items()}
-
         return {
             "seeds": self.seeds,
             "a": plain(self.a),
@@ -122,6 +119,11 @@
         }
 
 
+def plain(rows: dict[str, Interval]) -> dict[str, Any]:
+    """Intervals for JSON."""
+    return {name: {k: finite(v) for k, v in one.as_dict().items()} for name, one in rows.items()}
+
+
 def finite(value: float) -> float | None:
     """JSON has no infinity: an end that one replica leaves open is null."""
     return value if abs(value) < float("inf") else None
--- a/mapleshunt/model/fit.py
+++ b/mapleshunt/model/fit.py
@@ -28,11 +28,10 @@
 from .day import Day, Scenario
 from .engine import Engine
 from .record import TryRecord
-from .recorded import Floats, Traffic, received, segments
+from .recorded import Floats, Received, Traffic, received, segments
 
 FORM = 1
 LEAST_ROWS = 200
-TRUSTED = ("cores", "most_units", "conn_idle_ms", "dial_ms", "counter_wait_ms")  # never fitted
 
 
 class Spell(msgspec.Struct, array_like=True, frozen=True):
@@ -93,10 +92,10 @@
 
 
 def classes_of(
-    traffic: Traffic, cores: float, worths: Mapping[str, float]
+    traffic: Traffic, got: Received, worths: Mapping[str, float]
 ) -> tuple[list[FittedClass], float]:
     """Classes with their work, and the spread of the servers' speeds beside each other."""
-    rows, work = received(traffic, cores)
+    rows, work = got
     if len(rows) < LEAST_ROWS:
         raise ValueError(f"{len(rows)} served attempts are too few for a fit; {LEAST_ROWS} are the least")
     firsts = traffic.firsts()
@@ -142,9 +141,9 @@
     return found, math.sqrt(max(0.0, spread))
 
 
-def units_of(traffic: Traffic, cores: float) -> tuple[float, float]:
+def units_of(traffic: Traffic, got: Received) -> tuple[float, float]:
     """(ms of work a unit, coefficient of variation of guess over true units), from what answers told."""
-    rows, work = received(traffic, cores)
+    rows, work = got
     told = [(w, row.cost) for (row, _), w in zip(rows, work, strict=True) if row.cost > 0]
     guesses = [row.guess / row.cost for row in traffic.rows if row.cost > 0 and 1 < row.guess < 8]
     # Units are the work over that of one, rounded up: the size of one is where their sum comes out as told.
@@ -246,13 +245,7 @@
                 )
                 profile.append(held)
         table = np.array(profile) if profile else np.zeros((0, wanted))
-        times = (np.arange(wanted) + 0.5) * clients.STEP
-        for fault in faults:
-            if fault.kind == "burst":
-                rise = np.clip((times - fault.at) / 1000, 0, 1) * np.clip((fault.end - times) / 1000, 0, 1)
-                for n, customer in enumerate(who):
-                    if drawn.plans[customer.plan].name == fault.plan:
-                        table[n] *= 1 + (fault.size - 1) * rise
+        clients.raise_bursts(drawn, who, faults, table)
         return clients.traffic_of(drawn, scenario.gateways, who, table, length, streams)
 
 
@@ -283,11 +276,11 @@
 Summary = dict[str, float]
 
 
-def summary(rows: Sequence[tuple[str, str, float, bool, Sequence[str], float]]) -> Summary:
-    """Of (final, class, took, retry, statuses of tries, at): what a day is recognised by."""
-    first = [row for row in rows if not row[3]]
-    served = np.array([row[2] for row in rows if row[0] == "served"])
-    tries = [status for row in rows for status in row[4]]
+def summary(rows: Sequence[tuple[str, float, bool, Sequence[str]]]) -> Summary:
+    """Of (final, took, retry, statuses of tries): what a day is recognised by."""
+    first = [row for row in rows if not row[2]]
+    served = np.array([row[1] for row in rows if row[0] == "served"])
+    tries = [status for row in rows for status in row[3]]
     count = max(1, len(first))
     many = max(1, len(tries))
     out = {
@@ -302,30 +295,28 @@
 
 
 def of_traffic(traffic: Traffic) -> Summary:
-    return summary(
-        [(r.final, r.cls, r.took, r.retry, [a.status for a in r.attempts], r.at) for r in traffic.rows]
-    )
+    return summary([(r.final, r.took, r.retry, [a.status for a in r.attempts]) for r in traffic.rows])
 
 
-def of_tries(tries: Sequence[TryRecord], classes: Sequence[str]) -> Summary:
+def of_tries(tries: Sequence[TryRecord]) -> Summary:
     return summary([
-        (str(t.answer or "failed"), classes[t.ask.cls], t.answered - t.sent, t.number > 1,
-         [str(a.status or "out") for a in t.attempts], t.sent)
+        (str(t.answer or "failed"), t.answered - t.sent, t.number > 1,
+         [str(a.status or "out") for a in t.attempts])
         for t in tries if t.taken
     ])  # fmt: skip
 
 
 def _try_draw(
     fit: Fit, scenario: Scenario, seed: int, value: dict[str, float]
-) -> tuple[dict[str, float], Summary] | None:
-    """Play one draw over the recorded day. A draw that cannot be played is none."""
+) -> tuple[dict[str, float], Summary]:
+    """Play one draw over the recorded day."""
     from ..control import Gateway
 
     one = msgspec.structs.replace(fit, draws=(value,))
     day = day_from(one, scenario, seed, Replay(one, aligned=True), 0)
     engine = Engine(day, Gateway)
     engine.run()
-    return value, of_tries(engine.watchman.tries, engine.classes)
+    return value, of_tries(engine.watchman.tries)
 
 
 def fit(
@@ -343,8 +334,9 @@
     """Fit a world to recordings. `known`: figures that the operator knows. Raises ValueError."""
     rng = Streams(seed).of("fit")
     cores = (known or {}).get("cores", figures.SPANS["cores"].low)
-    classes, speed_cv = classes_of(traffic, cores, worths)
-    unit, guess_cv = units_of(traffic, cores)
+    got = received(traffic, cores)
+    classes, speed_cv = classes_of(traffic, got, worths)
+    unit, guess_cv = units_of(traffic, got)
     seen = {a.server for row in traffic.rows for a in row.attempts}
     counts: dict[str, int] = {}
     for row in traffic.firsts():
@@ -386,8 +378,7 @@
     played: list[tuple[dict[str, float], Summary]] = []
     with Parallel(n_jobs=jobs, return_as="generator") as pool:
         for one in pool(delayed(_try_draw)(base, scenario, n, v) for n, v in enumerate(values)):
-            if one is not None:
-                played.append(one)
+            played.append(one)
             if progress is not None:
                 progress(1)
     keys = list(base.recorded)
--- a/mapleshunt/model/policies.py
+++ b/mapleshunt/model/policies.py
@@ -15,8 +15,8 @@
 from .. import interface as i
 from ..world.quota import Store
 from .engine import Count, Counted
+from .rules import PROVEN
 
-PROVEN = ("full", "unreachable", "unsent")
 MOST_TRIES = 3
 MARGIN = 8.0  # ms before a request's patience ends at which it is answered
 
--- a/mapleshunt/model/recorded.py
+++ b/mapleshunt/model/recorded.py
@@ -18,6 +18,7 @@
 from ..record.form import Row
 
 Floats = npt.NDArray[np.float64]
+Received = tuple[list[tuple[Row, int]], Floats]  # (row, server) of served attempts, and the work of each
 
 
 class BadTraffic(ValueError):
@@ -77,7 +78,7 @@
     )
 
 
-def received(traffic: Traffic, cores: float) -> tuple[list[tuple[Row, int]], Floats]:
+def received(traffic: Traffic, cores: float) -> Received:
     """Work that each served attempt got, in ms of a core: [(row, server)], and the work.
 
     Nobody records how fast a till server is, only how long answers took. Its cores are shared evenly, so an
--- a/mapleshunt/model/rules.py
+++ b/mapleshunt/model/rules.py
@@ -24,8 +24,7 @@
         self.tries: list[TryRecord] = []
         self.stories: list[str] = []  # the first breaks, in words
         self.known: dict[int, dict[int, tuple[float, Entry]]] = {}  # what each gateway was told, and when
-        self.runs: dict[int, float] = {}  # effects by request
-        self.fell: list[int] = []
+        self.runs: set[int] = set()  # requests that had their effect
         self.classes = [CLASSES[shape.name] for shape in day.figures.classes]
 
     def _break(self, rule: str, story: str) -> None:
@@ -81,7 +80,7 @@
         key = id(work.key)
         if key in self.runs:
             self._break("doubled", f"a sale of customer {work.key.customer} closed twice")  # type: ignore[attr-defined]
-        self.runs[key] = self.runs.get(key, 0.0) + 1
+        self.runs.add(key)
 
     def answered(self, one: TryRecord, final: Final, at: float) -> None:
         cls = self.classes[one.ask.cls]
@@ -103,7 +102,6 @@
         self._break("ceiling", f"request {one.ref} passed its customer's ceiling by {below:.1f} units")
 
     def pushed_over(self, till: TillServer) -> None:
-        self.fell.append(till.number)
         if till.fault:
             self._break("pushed_over", f"server {till.number} fell over while cold")
 
--- a/mapleshunt/record/writer.py
+++ b/mapleshunt/record/writer.py
@@ -31,7 +31,6 @@
         self.rows: list[bytes] = []
         self.held, self.first = 0, 0.0
         self.hashes: dict[str, bytes] = {}
-        self.lost = 0
         self.number = self._open(settings, now)
         self.flushing = PeriodicCallback(self.flush, FLUSH * 1000)
 
--- a/mapleshunt/rig/clients.py
+++ b/mapleshunt/rig/clients.py
@@ -59,10 +59,7 @@
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
         self.idle: list[list[Link]] = [[] for _ in fleet.gateways]
-        self.seen_down: set[int] = set()
-        self.open = 0
         self.tasks: set[asyncio.Task[None]] = set()
-        self.refs = 0
         self.wrong_values = self.strange = 0
 
     def _go(self, record: AskRecord, number: int) -> None:
@@ -96,28 +93,14 @@
         self.idle[gateway] = []
 
     async def _try(self, record: AskRecord, number: int) -> None:
-        fleet, clock, ask = self.fleet, self.fleet.clock, record.ask
-        deadline = fleet.deadlines[ask.cls]
-        now = clock.now()
-        patience = min(ask.patience * deadline, ask.at + deadline - now)
-        if patience <= 1:
+        fleet, clock = self.fleet, self.fleet.clock
+        one = fleet.new_try(record, number)
+        if one is None:
             return
-        pick = ask.pick if number == 1 else fleet.habits.elsewhere_pick(ask, number)
-        gateway = fleet.day.traffic.gateway(ask.customer, now, pick, len(fleet.gateways), self.seen_down)
-        self.refs += 1
-        record.tries = number
-        one = TryRecord(self.refs, ask, number, gateway, now, patience)
-        fleet.watchman.tries.append(one)
-        name = f"{fleet.mark + self.refs:016x}"
+        name = f"{fleet.mark + one.ref:016x}"
         fleet.by_id[name] = (one, record)
         told, wait = await self._send(one, name)
-        one.known = True
-        record.last, record.ended = told, clock.now()
-        if told == "served":
-            if record.served is None:
-                record.served, record.inside = record.ended, bool(one.inside)
-            return
-        pause = fleet.habits.next_try(ask, number, told, wait, fleet.effects[ask.cls] == "safe")
+        pause = fleet.client_told(record, one, told, wait)
         if pause is not None:
             clock.at(clock.now() + pause, self._go, record, number + 1)
             # The day is not over while a client waits to come back.
--- a/mapleshunt/rig/fleet.py
+++ b/mapleshunt/rig/fleet.py
@@ -6,22 +6,20 @@
 import contextlib
 import tempfile
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
-from ..model.day import CLASSES, Day, Rules
-from ..model.record import AskRecord, Books, TryRecord
-from ..model.rules import Watchman
+from ..model.day import Day, Rules
+from ..model.host import Host
+from ..model.record import AskRecord, TryRecord
 from ..model.score import Score, score
+from ..net import resp
 from ..terms import wire_of
-from ..world.chance import Draws, lognormal
-from ..world.clients import Habits
-from ..world.counter import Counter
-from ..world.discovery import Discovery, Entry
+from ..world.discovery import Entry
 from ..world.faults import Fault
-from ..world.network import Intake, Network
-from ..world.till import Cell, TillServer, Work
+from ..world.till import TillServer
 from .clients import Clients
 from .clock import Clock
 from .gateways import GatewayFailed, GatewayProcess
@@ -29,12 +27,11 @@
 from .tills import HOST, Out, Till
 
 SOCKET_RULES = Rules(answer_slack=58.0, drain_grace=550.0)  # every limit is 50 ms longer on sockets
-NOISE = 4096
 LOOK = 0.5  # s between looks at the gateways' CPU and memory
 HERE = Path(__file__).parent.parent.parent
 
 
-class Fleet:
+class Fleet(Host):
     """One run. `program` is the checkout whose gateways run; `env` is added to theirs."""
 
     def __init__(
@@ -45,48 +42,18 @@
         env: Mapping[str, str] | None = None,
         limits: Mapping[str, float] | None = None,
     ) -> None:
-        f, streams = day.figures, day.streams
-        self.day, self.folder = day, folder
-        self.clock = Clock()
-        self.network, self.counter = Network(f, streams), Counter(f)
-        self.discovery = Discovery(f, streams.of("discovery"))
-        self.settings = day.settings()
+        self.folder, self.clock = folder, Clock()
+        self.tills_on: dict[int, Till] = {}
+        super().__init__(day)
         self.zone = self.settings[0].zone
-        self.habits = Habits(f, self.settings[0].max_retry_after)
-        self.watchman, self.books = Watchman(day, self.settings[0]), Books(day)
-        self.books.passed = self.watchman.ceiling
-        self.classes = [shape.name for shape in f.classes]
-        self.effects = [CLASSES[name].get("effect", "safe") for name in self.classes]
-        self.deadlines = [CLASSES[name]["deadline"] for name in self.classes]
-        self.window = max(self.deadlines)
-        self.handshake = f["handshake_work"]
-        noise = streams.of("noise")
-        self.noise = [lognormal(noise, 1.0, shape.noise, NOISE).tolist() for shape in f.classes]
-        self.asks = [AskRecord(ask) for ask in day.traffic.asks]
         self.by_id: dict[str, tuple[TryRecord, AskRecord]] = {}
         self.out: dict[int, list[Out]] = {}
         self.late: list[TryRecord] = []
-        self.mark = streams.integer("ids") >> 8 << 8
-        self.message_bytes = self.probes = self.counts = self.events = 0
+        self.mark = day.streams.integer("ids") >> 8 << 8
         self.strangers = self.too_long = 0
-        self.cpu_ns = self.gateway_ns = 0
-        count = day.scenario.gateways
-        self.intakes = [Intake(self.settings[0].mail_per_s) for _ in range(count)]
-        self.lists: list[dict[int, Entry]] = []
         self.down: set[int] = set()
         self.ended_by_themselves: list[int] = []
-        # Machines, on sockets.
-        self.tills: dict[int, TillServer] = {}
-        self.tills_on: dict[int, Till] = {}
-        self.cells: list[Cell] = []
-        speeds, size = streams.of("speeds"), max(1, round(f["cell_size"]))
-        for number in range(day.scenario.servers):
-            if number % size == 0:
-                self.cells.append(Cell(self.window))
-            speed = max(0.3, f["speed"] * (1 + f["speed_cv"] * float(speeds.standard_normal())))
-            self._add_till(number, speed, len(self.cells) - 1)
-        self.next_server = day.scenario.servers
-        self.lists = [dict(self.discovery.entries) for _ in range(count)]
+        count = day.scenario.gateways
         self.agents = [Agent(self, number) for number in range(count)]
         self.counters = [CounterServer(self, number) for number in range(count)]
         self.paths = Paths(self, count)
@@ -98,22 +65,14 @@
             self.paths.home[gateway.number] = (HOST, gateway.peer_port)
         self.clients = Clients(self)
 
-    def _add_till(self, number: int, speed: float, cell: int) -> Till:
-        errors = self.day.streams.of("errors", number)
-        machine = TillServer(
-            number,
-            self.day.figures,
-            speed,
-            cell,
-            self.cells[cell],
-            Draws(errors.random),
-            self.day.rules.tip_after,
-            self.day.rules.fall_multiple,
-        )
-        self.tills[number] = machine
-        till = self.tills_on[number] = Till(machine, self)
-        self.discovery.entries[number] = Entry(number, cell)
-        return till
+    def now(self) -> float:
+        return self.clock.now()
+
+    def at(self, when: float, call: Callable[..., None], *arguments: Any) -> None:
+        self.clock.at(when, call, *arguments)
+
+    def _take_in(self, till: TillServer) -> None:
+        self.tills_on[till.number] = Till(till, self)
 
     def _config(self, number: int, limits: Mapping[str, float]) -> dict[str, Any]:
         paths, count = self.paths, self.day.scenario.gateways
@@ -138,12 +97,12 @@
         wall = time.perf_counter()
         try:
             for gateway in self.gateways:
-                self._told(gateway.number)
+                self._hand_list(gateway.number)
                 gateway.spawn(self._known(gateway.number))
             await asyncio.gather(*(gateway.ready() for gateway in self.gateways))
             self.clock.begin()
             for number in range(len(self.gateways)):
-                self._told(number)
+                self._hand_list(number)
             for fault in self.day.faults:
                 self.clock.at(fault.at, self._strike, fault)
             looking = asyncio.get_running_loop().create_task(self._look())
@@ -189,7 +148,7 @@
         rows = [self.agents[number].row(entry) for entry in self.lists[number].values()]
         return {"revision": self.agents[number].revision, "complete": True, "members": rows}
 
-    def _told(self, number: int) -> None:
+    def _hand_list(self, number: int) -> None:
         self.watchman.told_list(number, self.lists[number].values(), self.clock.now())
 
     # What the parts ask
@@ -207,13 +166,7 @@
         if not safe:
             pairs += f",k={abs(hash((ask.customer, ask.at, ask.work))) & (2**64 - 1):016x}"
         words = [b"SVC.QUERY" if safe else b"SVC.SUBMIT", who.name.encode(), name.encode(), pairs.encode()]
-        return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
-
-    def work(self, one: TryRecord, number: int) -> Work:
-        ask = one.ask
-        amount = ask.work * self.noise[ask.cls][(ask.noise + number) % NOISE]
-        key = ask if self.effects[ask.cls] == "keyed" else None
-        return Work((one.ref, number), amount, one.sent + one.patience, key, ask.units, one.gateway)
+        return resp.command(words)
 
     def ended(self, out: Out) -> None:
         there = self.out.get(out.one.ref, [])
@@ -231,69 +184,17 @@
 
     # Faults
 
-    def _strike(self, fault: Fault) -> None:
-        getattr(self, f"_on_{fault.kind}")(fault)
-
-    def _change(self, entry: Entry, silent: bool = False) -> None:
-        for at, gateway in self.discovery.change(self.clock.now(), entry, len(self.gateways), silent):
-            self.clock.at(at, self._news, gateway, entry)
-
-    def _news(self, gateway: int, entry: Entry) -> None:
-        if entry.state == "gone":
-            self.lists[gateway].pop(entry.server, None)
-        else:
-            self.lists[gateway][entry.server] = entry
+    def _told(self, gateway: int, entry: Entry) -> None:
         self.agents[gateway].change(entry)
 
-    def _on_crash(self, fault: Fault) -> None:
-        for number in fault.who:
-            till = self.tills_on[number]
-            till.die()
-            self._change(Entry(number, till.machine.cell, "gone"))
-            if fault.lasts:
-                self.clock.at(fault.end, self._come_back, number)
-
-    def _come_back(self, number: int) -> None:
-        till = self.tills_on[number]
-        if not till.machine.fallen:
-            till.come_back()
-            self._change(Entry(number, till.machine.cell, "ready", self.clock.now()))
-
-    def fell(self, till: Till) -> None:
-        """Pushed over while cold: it stays down."""
-        self.watchman.pushed_over(till.machine)
-        till.die()
-        self._change(Entry(till.machine.number, till.machine.cell, "gone"))
-
-    def _on_silent(self, fault: Fault) -> None:
-        for number in fault.who:
-            self.tills_on[number].fall_silent()
-            self._change(Entry(number, self.tills[number].cell, "gone"), silent=True)
-            if fault.lasts:
-                self.clock.at(fault.end, self._come_back, number)
+    def _die(self, number: int) -> None:
+        self.tills_on[number].die()
 
-    def _on_drain(self, fault: Fault) -> None:
-        for number in fault.who:
-            self._change(Entry(number, self.tills[number].cell, "draining", self.tills[number].started))
-            self.clock.at(fault.end + 2 * self.window, self._gone, number)
+    def _fall_silent(self, number: int) -> None:
+        self.tills_on[number].fall_silent()
 
-    def _gone(self, number: int) -> None:
-        self.tills_on[number].die()
-        self._change(Entry(number, self.tills[number].cell, "gone"))
-
-    def _on_add(self, fault: Fault) -> None:
-        speeds, f = self.day.streams.of("added", int(fault.at)), self.day.figures
-        for _ in range(int(fault.size)):
-            number, self.next_server = self.next_server, self.next_server + 1
-            speed = max(0.3, f["speed"] * (1 + f["speed_cv"] * float(speeds.standard_normal())))
-            till = self._add_till(number, speed, len(self.cells) - 1)
-            till.machine.start(self.clock.now())
-            self._change(Entry(number, till.machine.cell, "ready", self.clock.now()))
-
-    def _on_restart(self, fault: Fault) -> None:
-        for number in fault.who:
-            self._kill(number)
-            self.clock.at(fault.end, self._revive, number)
+    def _start_again(self, number: int) -> None:
+        self.tills_on[number].come_back()
 
     def _kill(self, number: int) -> None:
         self.down.add(number)
@@ -304,12 +205,12 @@
 
     def _front_sees(self, number: int) -> None:
         if number in self.down:
-            self.clients.seen_down.add(number)
+            self.seen_down.add(number)
 
     def _revive(self, number: int) -> None:
         gateway = self.gateways[number]
         gateway.spawn(self._known(number))
-        self._told(number)
+        self._hand_list(number)
 
         async def take_in() -> None:
             try:
@@ -318,7 +219,7 @@
                 self.ended_by_themselves.append(number)
                 return
             self.down.discard(number)
-            self.clients.seen_down.discard(number)
+            self.seen_down.discard(number)
 
         task = asyncio.get_running_loop().create_task(take_in())
         self.clients.tasks.add(task)
@@ -327,52 +228,22 @@
     def _on_leave(self, fault: Fault) -> None:
         for number in fault.who:
             self.gateways[number].term()
-            self.clock.at(self.clock.now() + 300.0, self.clients.seen_down.add, number)
+            self.clock.at(self.clock.now() + 300.0, self.seen_down.add, number)
             self.clock.at(self.clock.now() + 300.0, self.clients.drop, number)
             stop = self.clock.now() + self.window + 1000.0
             self.clock.at(stop, self._kill, number)
             self.clock.at(stop + fault.lasts, self._revive, number)
             self.down.add(number)
 
-    def _on_burst(self, fault: Fault) -> None:
-        """Drawn into the traffic."""
-
     def _on_counter_down(self, fault: Fault, how: Any = "refusing") -> None:
-        self.counter.down = how
+        super()._on_counter_down(fault, how)
         for server in self.counters:
             server.refuse()
-        self.clock.at(fault.end, self._counter_back, fault.size > 0.5)
-
-    def _on_counter_silent(self, fault: Fault) -> None:
-        self._on_counter_down(fault, "silent")
-
-    def _counter_back(self, empty: bool) -> None:
-        self.counter.down = ""
-        if empty:
-            self.counter.empty()
-
-    def _on_counter_slow(self, fault: Fault) -> None:
-        self.counter.slower = fault.size
-        self.clock.at(fault.end, self._set_slower, 1.0)
-
-    def _set_slower(self, times: float) -> None:
-        self.counter.slower = times
-
-    def _on_counter_split(self, fault: Fault) -> None:
-        self.counter.split(frozenset(fault.who))
-        self.clock.at(fault.end, self.counter.split, frozenset())
-
-    def _on_loss(self, fault: Fault) -> None:
-        before, self.network.loss = self.network.loss, fault.size
-        self.clock.at(fault.end, self._set_loss, before)
-
-    def _set_loss(self, loss: float) -> None:
-        self.network.loss = loss
 
 
 def on_sockets(day: Day) -> Day:
     """The day under the rules as they hold on sockets."""
-    return Day(day.scenario, day.seed, day.streams, day.figures, day.traffic, day.faults, SOCKET_RULES)
+    return replace(day, rules=SOCKET_RULES)
 
 
 async def _play(
--- a/mapleshunt/rig/services.py
+++ b/mapleshunt/rig/services.py
@@ -16,13 +16,14 @@
 
 from ..net import resp
 from ..net.buffer import ReadBuffer, TooLong
+from ..terms import STATES
 from ..world.discovery import Entry
 from .tills import HOST
 
 if TYPE_CHECKING:
     from .fleet import Fleet
 
-PHASES = {"ready": "Ready", "draining": "Terminating", "gone": "Gone"}
+PHASES = {state: phase for phase, state in STATES.items()}
 DATAGRAM = 256
 
 
--- a/mapleshunt/rig/tills.py
+++ b/mapleshunt/rig/tills.py
@@ -146,7 +146,7 @@
         for earlier in fleet.out.get(one.ref, ()):
             if gone(earlier.stream):  # it has ended before this one came, though its end is not yet read
                 fleet.give_up(earlier)
-        work = fleet.work(one, len(one.attempts))
+        work = fleet.work(one, len(one.attempts), one.sent + one.patience)
         attempt = AttemptRecord(self.machine.number, self.machine.cell, now, work, now)
         fleet.watchman.sending(one, attempt, one.gateway, now)
         one.attempts.append(attempt)
@@ -163,7 +163,7 @@
             word, ended = self.machine.offer(now, work, told)
             self._ended(ended)
             if self.machine.fallen and not fallen:
-                fleet.fell(self)
+                fleet.fell(self.machine)
                 return
         if word is None:
             self.held[work] = out
--- a/mapleshunt/world/clients.py
+++ b/mapleshunt/world/clients.py
@@ -138,13 +138,21 @@
                 inside = (times >= at - STEP / 2) & (times < at + figures["spike_ms"] + STEP / 2)
                 rates[n, inside] = figures["spike_x"] * plan.rate / who.rate
                 at += figures["spike_every_ms"] * float(rng.uniform(0.6, 1.4))
+    raise_bursts(figures, customers, faults, rates)
+    return rates
+
+
+def raise_bursts(
+    figures: Figures, customers: Sequence[Customer], faults: Sequence[Fault], rates: Floats
+) -> None:
+    """Multiply the rates of a plan's customers, [customer, step], while a burst of their plan lasts."""
+    times = (np.arange(rates.shape[1]) + 0.5) * STEP
     for fault in faults:
         if fault.kind == "burst":
             rise = np.clip((times - fault.at) / 1000, 0, 1) * np.clip((fault.end - times) / 1000, 0, 1)
             for n, who in enumerate(customers):
                 if figures.plans[who.plan].name == fault.plan:
                     rates[n] *= 1 + (fault.size - 1) * rise
-    return rates
 
 
 def mean_work(figures: Figures) -> float:
--- a/mapleshunt/world/figures.py
+++ b/mapleshunt/world/figures.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, fields, replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 import numpy as np
@@ -246,7 +246,3 @@
 def guesses() -> list[str]:
     """The figures that no page tells."""
     return [name for name, span in SPANS.items() if span.guess]
-
-
-def names(shape: type) -> list[str]:
-    return [one.name for one in fields(shape)]
--- a/tests/test_fit.py
+++ b/tests/test_fit.py
@@ -137,7 +137,7 @@
     asked = sum(fit.rates(c, 100).mean() for c in found)
     whole = sum(fit.rates(c, 100).mean() for c in fitted.customers)
     assert 0.8 < asked / whole < 1.2
-    classes, _ = fit.classes_of(traffic, 3, {})
+    classes, _ = fit.classes_of(traffic, recorded.received(traffic, 3), {})
     for one, other in zip(classes, fitted.classes, strict=True):
         assert abs(one.work / other.work - 1) < 4 * one.error + 0.1
 
@@ -154,7 +154,7 @@
     few = recorded.together(good)
     few.rows = few.rows[:50]
     with pytest.raises(ValueError, match="too few"):
-        fit.classes_of(few, 3, {})
+        fit.classes_of(few, recorded.received(few, 3), {})
     hurt = bytearray(good[0].read_bytes())
     hurt[form.HEADER.size + 300] ^= 0xFF
     good[0].write_bytes(bytes(hurt))
