Watch from the list known, and back off from discovery by the size of the fleet

Checked: the calls come every 104 ms from each gateway, 4 ms after a pause of 100 ms, so the line was full at arrival; after the first back-off 4 calls a second were taken and given up here after 1.5 s, before their turn: all work the service did was for nobody. At fault: Discovery.run's fixed pause, _session asking for the whole list after every status and at every start, and the limit of a watch's first answer (WAIT + SILENCE), which stands in a line.

Change: a watch goes on from the known revision (the configuration's, too), the whole list is asked for only where the revision may be unknown; a first answer may take 7 s; first calls are spread, and pauses are uniform up to a window that doubles, both by the number of gateways.

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import os
+import random
 import signal
 import socket
 import sys
@@ -18,6 +19,7 @@
 
 from . import interface as i
 from .net import client, log, resp
+from .net.backoff import Backoff
 from .net.config import Address, Config, ConfigError, load, reload, text_of
 from .net.counters import Counters
 from .net.discovery import Discovery, MemberList, member_list
@@ -50,7 +52,9 @@
         self.driver = Driver(config.settings, config.seed, self.group, self.counters)
         self.service = client.Service(self.driver, self.counters, config.seed, config.max_open)
         self.service.ready = self.ready
+        self.chance = random.Random(config.seed)
         self.watching: asyncio.Task[None] | None = None
+        self.revision: int | None = None  # of the list known
         self.peers: Peers | None = None
         self.stopped = asyncio.Event()
         self.leaving = False
@@ -67,6 +71,7 @@
     def told(self, found: MemberList) -> None:
         kind: i.ListKind = "complete" if found.complete else "partial"
         self.driver.feed(self.group.update(kind, found.members))
+        self.revision = found.revision
         log.say("members", kind=kind, revision=found.revision, entries=len(found.members))
 
     def print_counters(self) -> None:
@@ -122,7 +127,9 @@
         config = self.config
         try:
             if config.known is not None:
-                self.driver.feed(self.group.update("persisted", member_list(config.known).members))
+                known = member_list(config.known)
+                self.driver.feed(self.group.update("persisted", known.members))
+                self.revision = known.revision if known.members else None
             if config.peer_listen is not None and config.peers_all is not None:
                 self.peers = Peers(
                     config.peer_listen, config.peers, config.peers_all, self.heard, self.counters
@@ -162,7 +169,8 @@
         """Follow this discovery agent, and no longer the one before."""
         if self.watching is not None:
             self.watching.cancel()
-        discovery = Discovery(agent, self.told, self.counters)
+        backoff = Backoff(self.config.settings.instances, self.chance)
+        discovery = Discovery(agent, self.told, self.counters, backoff, self.revision)
         self.watching = asyncio.get_running_loop().create_task(discovery.run())
 
     def reload(self) -> None:
@@ -179,6 +187,8 @@
             return
         self.counters.add("reloads")
         log.say("reloaded", discovery=text_of(config.discovery), counter=text_of(config.counter))
+        if config.discovery != self.config.discovery:
+            self.revision = None  # another agent may count otherwise
         self.config = config
         self.watch(config.discovery)
 
--- a/mapleshunt/net/discovery.py
+++ b/mapleshunt/net/discovery.py
@@ -1,4 +1,8 @@
-"""Discovery: the whole list at the start, then one watch after another."""
+"""Discovery: one watch after another from the list known; the whole list only where none is.
+
+Discovery is one service for all gateways. A whole list costs it every line, and a call that it turned away
+is no reason to ask for more, nor at once, nor in step with the others.
+"""
 
 from __future__ import annotations
 
@@ -14,6 +18,7 @@
 from .. import interface as i
 from ..terms import STATES
 from . import http, log
+from .backoff import Backoff
 from .buffer import ReadBuffer, TooLong
 from .config import Address, ConfigError, address, family_of
 from .counters import Counters
@@ -22,8 +27,8 @@
 PATH = "/catalog/members"
 WAIT = 1000  # ms that a watch waits for something new: one that falls silent is found soon after
 SILENCE = 500  # ms past a call's own wait after which the agent counts as gone
-LIST_LIMIT = 3000  # ms within which the whole list must come
-PAUSE = 100  # ms before the next call after a failed one: a watch goes on if it comes within 200
+FIRST_LIMIT = 6000  # ms for the whole list, or past its wait for a watch's first answer: calls wait in turn
+UNKNOWN = (400, 404, 410)  # statuses that may mean that the revision asked from is not known
 
 
 @dataclass(slots=True, frozen=True)
@@ -55,13 +60,22 @@
 class Discovery:
     """Calls `told` with every list and every change."""
 
-    def __init__(self, agent: Address, told: Callable[[MemberList], None], counters: Counters) -> None:
+    def __init__(
+        self,
+        agent: Address,
+        told: Callable[[MemberList], None],
+        counters: Counters,
+        backoff: Backoff,
+        revision: int | None = None,
+    ) -> None:
+        """`revision` is that of the list known; without one the whole list is asked for."""
         self.agent, self.told, self.counters = agent, told, counters
-        self.revision: int | None = None
-        self.list_limit, self.watch_limit = LIST_LIMIT / 1000, (WAIT + SILENCE) / 1000  # s
+        self.backoff, self.revision = backoff, revision
+        self.first_limit, self.watch_limit = FIRST_LIMIT / 1000, (WAIT + SILENCE) / 1000  # s
 
     async def run(self) -> None:
         """Until it is cancelled."""
+        await asyncio.sleep(self.backoff.start() / 1000)
         while True:
             stream = IOStream(socket.socket(family_of(self.agent)), max_buffer_size=2 * http.MAX_MESSAGE)
             try:
@@ -80,18 +94,22 @@
             finally:
                 stream.close()
             self.counters.add("discovery_ended")
-            log.say("discovery_ended", reason=reason, revision=self.revision)
-            await asyncio.sleep(PAUSE / 1000)
+            pause = self.backoff.pause()
+            log.say("discovery_ended", reason=reason, revision=self.revision, pause=pause)
+            await asyncio.sleep(pause / 1000)
 
     async def _session(self, stream: IOStream) -> str:
         """Call after call on one connection; the reason for its end."""
-        async with asyncio.timeout(self.list_limit):
+        async with asyncio.timeout(self.first_limit):
             await stream.connect(self.agent)
         buffer = ReadBuffer(http.MAX_MESSAGE)
+        watching = False
         while True:
-            path, limit = PATH, self.list_limit
+            # A call that begins a watch waits its turn at the one service. Given up after a watch's usual
+            # silence it was work for nobody, and with many gateways that was all the service did.
+            path, limit = PATH, self.watch_limit if watching else self.first_limit + WAIT / 1000
             if self.revision is not None:
-                path, limit = f"{PATH}?index={self.revision}&wait={WAIT}", self.watch_limit
+                path = f"{PATH}?index={self.revision}&wait={WAIT}"
             async with asyncio.timeout(limit):
                 await stream.write(http.get(path, f"{self.agent[0]}:{self.agent[1]}"))
                 while not (found := http.parse_response(buffer.data, buffer.start, buffer.end)):
@@ -99,10 +117,14 @@
             response = found[0]
             buffer.consume(found[1])
             if response.status != 200:
-                self.revision = None  # it may not know this revision: begin with the whole list
+                # Only where it may not know the revision does the next call ask for the whole list: after
+                # every 503 of a discovery that is overbooked, all gateways asked for what costs it most.
+                self.revision = None if response.status in UNKNOWN else self.revision
                 return f"status_{response.status}"
             members = member_list(json.loads(bytes(response.body)))
+            self.backoff.answered()
             self.told(members)
+            watching = self.revision is not None  # the answer was a watch's: the next call continues it
             self.revision = members.revision
             if not response.keep:
                 return "agent_closed"
