Count each grant of a quota once, however many gateways share it and words are lost

Checked: 24% of the asks were decided by deputy or slice, since 7 in 100 messages are lost each way and one overdue word had the home passed over for a second. Ruled out: the intake limit (31 of 40 messages a second). At fault: silent() after one ask; charge() in keep(), by which a lost grant stayed charged and was charged again; told(), which never told the home of a deputy's grant; first slices, half a largest request each, 120 units beside a store of 16 at 30 gateways; the view that suffices, though as many may use the same.

Change: homes answer a repeated ask alike and charge it once; late grants are given back; deputies' grants are told to the home, and their word does not replace its view; a keeper is passed over after two overdue asks; first slices sum to the store; a view must hold a quarter of the gateways' like requests.

--- a/mapleshunt/control.py
+++ b/mapleshunt/control.py
@@ -26,6 +26,7 @@
 SILENCE = 1000.0  # ms for which a keeper that owes its word is not asked again
 STALE = 2.0  # the others' use that a keeper told counts this many times while its word ages, for bursts
 STIR = 0.25  # part of the rate that others may use though none was told
+ALIKE = 0.25  # part of a customer's gateways that may decide alike before they hear of each other
 HOME_PART = 0.7  # part of a ceiling's rate that the home grants from; even slices share the rest
 SUSPECT = 6.0  # unanswered waiting, in mean answer times summed over a server's attempts, that ejects it
 REST = 5.0  # a server's mean answer time over the best mean of late that earns it a rest
@@ -137,7 +138,8 @@
             at = [(event.first + place % n) % self.set.instances for place in (c.tag, c.tag + (n // 2 | 1))]
             c.keepers = (at[0], at[0], at[0] if c.plan.ceiling_rate else at[1])  # two might pass a ceiling
             most = max(c.plan.burst / n, self.set.largest)  # a slice covers one request at least
-            c.slice = Bucket(c.store.rate / n, most, most * self.random.random(), self.now)
+            first = most * (self.random.random() * most < c.plan.burst / n)  # their sum counts
+            c.slice = Bucket(c.store.rate / n, most, first, self.now)
             if c.keepers[0] != self.set.me:
                 c.ceiling = c.ceiling.part((1 / HOME_PART - 1) / n, 1 / n)
         return c
@@ -163,7 +165,8 @@
             view = min(view, c.slice.fill(self.now))  # the store never holds more than a view: a lack is sure
         lack = max(units - view if plan.rate else 0.0, units - ceiling if alone else 0.0)
         use = STALE * c.use.value / c.use.span + STIR * c.store.rate  # by the others since the last word
-        sure = alone or units <= min(view - use * (self.now - c.told_at + self.gap), ceiling)
+        alike = max(1.0, ALIKE * c.spread)  # many that let in one each pass the store together
+        sure = alone or units <= min((view - use * (self.now - c.told_at + self.gap)) / alike, ceiling)
         if lack > 0 or 0 < plan.open_limit < c.open * max(1, min(c.spread, plan.open_limit)):
             self.refuse(job.ref, lack / c.store.rate if plan.rate else c.k)
         elif sure or not plan.rate:
@@ -172,6 +175,8 @@
             self.grant(job)
         else:
             self.asking[number := job.ref % NUMBERS] = job
+            if c.keepers[asks] == c.keepers[0]:
+                self.keep_some(self.asked, number, units)
             self.tell(c.keepers[asks], Line("ask", c.tag, number, units, view / plan.burst, c.code))
             job.asks, job.asked_at = asks + 1, self.now
             self.owing.setdefault(c.keepers[asks], self.now)
@@ -191,7 +196,7 @@
         since = self.now - self.owing.get(keeper, self.now)
         if since > SILENCE:
             del self.owing[keeper]
-        return OVERDUE * self.word_ms < since <= SILENCE
+        return 2 * OVERDUE * self.word_ms < since <= SILENCE
 
     def grant(self, job: Job) -> None:
         c, job.granted, self.queued = job.customer, True, self.queued + 1
@@ -229,7 +234,7 @@
             if line.kind in ("ask", "note") and line.code < len(self.plans):
                 self.keep(event.sender, line)
             elif (c := self.customers.get(line.tag)) and c.keepers and c.keepers[0] != self.set.me:
-                self.told(c, line)
+                self.told(c, line, event.sender == c.keepers[0])
 
     def keep(self, peer: int, line: Line) -> None:  # as keeper: take use, grant what the store holds, tell it
         c, kind = self.record(line.tag, line.code), "level"
@@ -240,23 +245,35 @@
         c.store.level = level = min(level, line.left * burst)  # after a restart members know better
         if line.kind == "ask":
             enough = line.units <= min(level, c.ceiling.fill(self.now) if c.plan.ceiling_rate else math.inf)
-            kind = "granted" if enough else "denied"
-            self.charge(c, line.units * enough)
-            c.ceiling.level -= line.units * enough
+            known = (peer, line.tag, line.number) in self.replied  # it asks again: its grant was lost
+            kind = "granted" if enough or known else "denied"
+            if enough and not known:
+                self.keep_some(self.replied, (peer, line.tag, line.number), line.units)
+                c.store.level, c.ceiling.level = level - line.units, c.ceiling.level - line.units
+                c.use.add(self.now, line.units)
         use = code_of(c.use.add(self.now) / burst)
         self.tell(peer, Line(kind, c.tag, line.number, 0.0, max(0.0, c.store.level) / burst, use))
 
-    def told(self, c: Customer, line: Line) -> None:
-        """A keeper's word: its view is newer, and a request that waited for it is let in or refused."""
-        c.store.level, c.store.at, c.told_at = line.left * c.plan.burst, self.now, self.now
-        c.use.value = share_of(line.code) * c.plan.burst
+    def told(self, c: Customer, line: Line, home: bool) -> None:
+        """A keeper's word: its view is newer, and a request that waited for it is let in or refused.
+
+        The home counts what it grants and is told of what others grant; a deputy hears of its own only.
+        """
+        if home:
+            c.store.level, c.store.at, c.told_at = line.left * c.plan.burst, self.now, self.now
+            c.use.value = share_of(line.code) * c.plan.burst
         job = self.asking.pop(line.number, None) if line.kind != "level" else None
+        asked = self.asked.pop(line.number, 0.0) if home and line.kind != "level" else 0.0
         if job is not None and job.customer is c and job.ref in self.jobs and not job.granted:
             self.word_ms += SMOOTH * (self.now - job.asked_at - self.word_ms)
             if line.kind == "granted":
+                if not home:
+                    self.charge(c, job.units)
                 self.grant(job)
             else:
                 self.refuse(job.ref, max(0.0, job.units - c.store.level) / c.store.rate)
+        elif asked and line.kind == "granted":  # too late: decided without it, so the home has it back
+            self.charge(c, -asked)
 
     # Rounds
 
--- a/mapleshunt/state.py
+++ b/mapleshunt/state.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from typing import Any
 
 from . import interface as i
 from .report import Line, server_tag
@@ -128,6 +129,8 @@
         self.owing: dict[int, float] = {}  # keepers that were asked and not heard since: from when on
         self.jobs: dict[int, Job] = {}  # requests that are owed an answer
         self.asking: dict[int, Job] = {}  # by number: those that wait for the word of their quota's keeper
+        self.asked: dict[int, float] = {}  # units by number: what a home was asked and has not answered
+        self.replied: dict[tuple[int, int, int], float] = {}  # granted as keeper, by member, tag and number
         self.again: deque[Job] = deque()  # those that wait for a further attempt
         self.shrunk = self.said = self.measured = -math.inf  # last times: bound, word to all, answer
         self.alarms: list[tuple[float, str, int]] = []  # heap of what to look at, and when
@@ -188,3 +191,10 @@
 
     def remind(self, at: float, what: str, key: int) -> None:
         heapq.heappush(self.alarms, (at, what, key))
+
+    @staticmethod
+    def keep_some(table: dict[Any, float], key: Any, value: float, most: int = 512) -> None:
+        """Remember the newest entries only."""
+        table[key] = value
+        while len(table) > most:
+            del table[next(iter(table))]
