--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -33,6 +33,7 @@
 STAY = 0.5  # s after SIGTERM for which new connections are still taken
 BACKLOG = 512  # connections that wait in the kernel to be accepted
 ACCEPT_AT_ONCE = 8
+COUNTERS_EVERY = 10_000  # ms: one that is killed prints none at its end
 RESTED = 0.1  # s with nothing owed after which a connection makes room when there are many
 RESERVE = 32  # descriptors kept for the log, the loop, the listener, discovery and peers
 SERVERS_PART = 0.4  # part of the other descriptors that connections to till servers may take
@@ -79,6 +80,7 @@
             open=len(self.driver.open),
             client_connections_now=len(self.service.connections),
             server_connections_now=len(self.group.connections),
+            **self.driver.gateway.figures(self.driver.now()),
         )
 
     # Client connections: at the limit an idle one makes room, and with none idle new ones wait in the
@@ -199,7 +201,11 @@
         loop.add_signal_handler(signal.SIGTERM, self.stopped.set)
         loop.add_signal_handler(signal.SIGINT, self.stopped.set)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
-        sweeps = [PeriodicCallback(self.group.sweep, 1000), PeriodicCallback(self.sweep_clients, 100)]
+        sweeps = [
+            PeriodicCallback(self.group.sweep, 1000),
+            PeriodicCallback(self.sweep_clients, 100),
+            PeriodicCallback(self.print_counters, COUNTERS_EVERY),
+        ]
         for sweep in sweeps:
             sweep.start()
         self.watch(self.config.discovery)
--- a/mapleshunt/control.py
+++ b/mapleshunt/control.py
@@ -103,8 +103,8 @@
         aim_at = self.now + min(cls.aim * (RETRY_LEFT if event.retry else 1.0), event.patience)
         job = Job(event.ref, cls, customer, event.units, aim_at, self.now + event.patience - self.margin)
         hopeless = event.patience < max(2 * self.margin, self.expect(cls) / 2)
-        if hopeless or self.delay(customer) > PATIENT * (aim_at - self.now):
-            self.refuse(event.ref, cls.aim / 4)  # its patience, or the queue, leaves no time to answer it
+        if hopeless or self.delay(customer) > PATIENT * (aim_at - self.now):  # no time to answer it
+            self.refuse(event.ref, cls.aim / 4, "patience" if hopeless else "queue")
         else:
             self.jobs[event.ref], customer.open = job, customer.open + 1
             # Unsent after half its patience, it would cost more than one refused before.
@@ -122,9 +122,9 @@
         ahead = min(self.queued, (len(customer.queue) + 1) * max(1, len(self.ring)))
         return ahead * self.answer / self.slots()[1] if ahead else 0.0
 
-    def refuse(self, ref: int, wait: float) -> None:
+    def refuse(self, ref: int, wait: float, why: str) -> None:
         advice = min(self.set.max_retry_after, max(wait, self.margin)) if self.set.retry_after else 0.0
-        self.actions.append(i.Refuse(ref, advice))
+        self.actions.append(i.Refuse(ref, advice, why))
         if ref in self.jobs:
             self.close(self.jobs[ref])
 
@@ -168,7 +168,7 @@
         alike = max(1.0, ALIKE * c.spread)  # many that let in one each pass the store together
         sure = alone or units <= min((view - use * (self.now - c.told_at + self.gap)) / alike, ceiling)
         if lack > 0 or 0 < plan.open_limit < c.open * max(1, min(c.spread, plan.open_limit)):
-            self.refuse(job.ref, lack / c.store.rate if plan.rate else c.k)
+            self.refuse(job.ref, lack / c.store.rate if plan.rate else c.k, "quota")
         elif sure or not plan.rate:
             self.charge(c, units)
             c.slice.level, c.ceiling.level = c.slice.level - units * alone, c.ceiling.level - units
@@ -271,7 +271,7 @@
                     self.charge(c, job.units)
                 self.grant(job)
             else:
-                self.refuse(job.ref, max(0.0, job.units - c.store.level) / c.store.rate)
+                self.refuse(job.ref, max(0.0, job.units - c.store.level) / c.store.rate, "quota")
         elif asked and line.kind == "granted":  # too late: decided without it, so the home has it back
             self.charge(c, -asked)
 
@@ -418,7 +418,8 @@
 
     def finish(self, job: Job) -> None:  # the final answer to a request that will not be served
         if self.permits(job)[1]:
-            self.refuse(job.ref, job.cls.aim / 4)
+            why = "tries" if job.attempts else "slot" if job.granted else "word"
+            self.refuse(job.ref, job.cls.aim / 4, why)
         else:
             self.actions.append(i.Fail(job.ref))
             self.close(job)
--- a/mapleshunt/interface.py
+++ b/mapleshunt/interface.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Literal
 
 Effect = Literal["safe", "keyed", "unsafe"]
@@ -206,6 +206,7 @@
 
     ref: int
     wait: float = 0.0
+    why: str = field(default="", compare=False)  # patience, queue, quota, word, slot or tries: for counters
 
 
 @dataclass(slots=True, frozen=True)
--- a/mapleshunt/model/scenarios.py
+++ b/mapleshunt/model/scenarios.py
@@ -71,6 +71,37 @@
     return [Fault(_when(rng, scenario, lasts), "silent", lasts, faults.some(rng, scenario.servers, 0.12))]
 
 
+def _herd(rng: Rng, scenario: Scenario) -> list[Fault]:
+    """Till servers are released in four groups; in the middle most gateways are killed at once."""
+    within = _scaled(scenario, 9000)
+    begin = _when(rng, scenario, within)
+    who = [int(n) for n in rng.permutation(scenario.servers)]
+    releases = []
+    for n in range(4):
+        group, at = tuple(sorted(who[n::8])), begin + n * within / 4
+        releases += [Fault(at, "drain", 2000, group), Fault(at + 1000, "add", size=max(1, len(group)))]
+    killed = faults.some(rng, scenario.gateways, 0.7)
+    return [*releases, Fault(begin + within / 3, "restart", float(rng.uniform(310, 1100)), killed)]
+
+
+def _zone(rng: Rng, scenario: Scenario) -> list[Fault]:
+    """A third of the till servers, as a zone holds, vanish at once and come back cold together."""
+    lasts = _scaled(scenario, float(rng.uniform(5400, 10000)))
+    return [Fault(_when(rng, scenario, lasts), "silent", lasts, faults.some(rng, scenario.servers, 0.33))]
+
+
+def _join(rng: Rng, scenario: Scenario) -> list[Fault]:
+    """Six in ten till servers are replaced by cold ones within 7 s, half of them at a time."""
+    begin, within = _when(rng, scenario, 7000), _scaled(scenario, 7000)
+    who = [int(n) for n in rng.permutation(scenario.servers)]
+    size = max(1, round(0.3 * scenario.servers))
+    steps = []
+    for n in range(2):
+        group, at = tuple(sorted(who[n * size : (n + 1) * size])), begin + n * within / 2
+        steps += [Fault(at, "drain", within / 2, group), Fault(at + within / 4, "add", size=len(group))]
+    return steps
+
+
 SCENARIOS = {
     one.name: one
     for one in (
@@ -85,6 +116,9 @@
         Scenario(
             "cold", "a third more till servers start cold while some drain, at high load", (0.8, 0.97), _cold
         ),
+        Scenario("herd", "most gateways are killed at once during a release", (0.43, 0.64), _herd),
+        Scenario("zone", "a third of the till servers vanish and return cold", (0.43, 0.64), _zone),
+        Scenario("join", "six in ten till servers are replaced within 7 s", (0.43, 0.64), _join),
         Scenario("worst", "burst, crash, restarts and a lost counter in one day", (0.55, 0.67), _worst),
     )
 }
--- a/mapleshunt/net/driver.py
+++ b/mapleshunt/net/driver.py
@@ -130,6 +130,7 @@
                 self._send(action)
             case i.Refuse(ref, wait):
                 if context := self.open.pop(ref, None):
+                    self.counters.add(f"rejected_{action.why}")
                     relay.reject(context, wait, self.counters)
                     self.over(context)
             case i.Fail(ref):
--- a/mapleshunt/state.py
+++ b/mapleshunt/state.py
@@ -133,6 +133,7 @@
         self.replied: dict[tuple[int, int, int], float] = {}  # granted as keeper, by member, tag and number
         self.again: deque[Job] = deque()  # those that wait for a further attempt
         self.shrunk = self.said = self.measured = -math.inf  # last times: bound, word to all, answer
+        self.bound = self.pace = self.best = self.answer = 0.0
         self.alarms: list[tuple[float, str, int]] = []  # heap of what to look at, and when
         self.wake = math.inf  # the earliest timer that is set
         self.servers: dict[int, Server] = {}
@@ -142,6 +143,16 @@
         self.visited: Customer | None = None  # its visit waits for a slot
         self.left, self.quantum, self.excess, self.queued = 0, 0.0, 0.0, 0
 
+    def figures(self, now: float) -> dict[str, float]:
+        """What it goes by now, for operators."""
+        barred = sum(s.barred > now for s in self.ready)
+        return {
+            "servers_ready": len(self.ready), "servers_barred": barred, "requests_queued": self.queued,
+            "requests_asking": len(self.asking), "tries_out": sum(len(s.out) for s in self.servers.values()),
+            "bound": round(self.bound, 3), "pace": round(self.pace, 3), "best": round(self.best, 3),
+            "answer": round(self.answer, 1),
+        }  # fmt: skip
+
     def forget(self, now: float) -> None:
         """Drop idle customers whose store has been full for long, now and then."""
         if len(self.customers) > 2 * self.swept + 64:
