Test the build that was cut off halfway and the reasons of refusals

Need: the deploy file's build and the new counters had no test that fails without them.

Change: the build is run with a stand-in for python that fails halfway, then whole, then with other requirements; refusals by reason in the module and in the driver's counters.

--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -589,6 +589,20 @@
     assert [type(action).__name__ for action in got] == ["Refuse"]
 
 
+@pytest.mark.parametrize(
+    ("why", "setting", "asked", "waits"),
+    [
+        ("patience", {}, {"patience": 5}, 0),
+        ("quota", {}, {"plan": "thin", "units": 5}, 0),
+        ("slot", {"servers": 0}, {"patience": 900}, 900),
+    ],
+)
+def test_refusal_names_its_reason(why: str, setting: dict, asked: dict, waits: int) -> None:  # type: ignore[type-arg]
+    driver = Driver(**setting)
+    got = [*driver.ask(**asked), *driver.wait(waits)]
+    assert [one.why for one in got if isinstance(one, Refuse)] == [why]
+
+
 def unsure(driver: Driver, number: int) -> list[Tell]:
     """A request whose customer's store the gateway does not know well enough; the asks it leads to."""
     got = driver.ask(plan="thin", customer=f"c{number}", spread=3, units=3)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -108,6 +108,18 @@
     assert play(does, steps).counters.counts["exceptions"] == 1
 
 
+def test_refusals_are_counted_by_their_reason() -> None:
+    async def steps(driver: Driver, decisions: Scripted) -> None:
+        assert [ask(driver, ref)[1].answers for ref in (1, 2)] == [["rejected 5"], ["rejected 5"]]
+
+    def does(event: Event) -> list[Any]:
+        reasons = ("quota", "queue")
+        return [Refuse(event.ref, 5.0, reasons[event.ref - 1])] if isinstance(event, Request) else []
+
+    counts = play(does, steps).counters.counts
+    assert counts["rejected_quota"] == counts["rejected_queue"] == 1 and counts["answers_rejected"] == 2
+
+
 def test_exception_in_an_action_does_not_stop_those_behind_it() -> None:
     async def steps(driver: Driver, decisions: Scripted) -> None:
         driver.tell = lambda peer, text: 1 / 0  # type: ignore[assignment]
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -4,7 +4,11 @@
 
 import io
 import json
+import os
 import re
+import shutil
+import subprocess
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -173,3 +177,37 @@
         "4core",
     ]
     assert [name for name in names if re.search(rf"\b{name}", text.lower())] == []
+
+
+def test_build_makes_the_environment_anew_where_one_was_cut_off_halfway(tmp_path: Path) -> None:
+    # A folder that was begun was taken for whole: the gateway did not start, and building again did nothing.
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    shutil.copy(ROOT / "requirements.txt", tmp_path)
+    tools = tmp_path / "tools"
+    tools.mkdir()
+    python = tools / "python3"  # stands for python: writes down its calls, and makes what `venv` would
+    python.write_text(
+        '#!/bin/sh\necho "$*" >> "$CALLS"\n'
+        'case "$*" in "-m venv"*) rm -rf .venv-run; mkdir -p .venv-run/bin; cp "$0" .venv-run/bin/python;;\n'
+        '"-m pip"*) exit "$FAILS";; esac\n'
+    )
+    python.chmod(0o755)
+
+    def build(fails: int) -> tuple[int, list[str]]:
+        calls = tmp_path / "calls"
+        calls.write_text("")
+        env = {"PATH": f"{tools}:{os.environ['PATH']}", "CALLS": str(calls), "FAILS": str(fails)}
+        done = subprocess.run(["/bin/sh", "-c", deploy["build"]], cwd=tmp_path, env=env, timeout=60)
+        return done.returncode, [line.split()[1] for line in calls.read_text().splitlines()]
+
+    assert build(1) == (1, ["venv", "pip"])  # cut off while packages are installed
+    assert build(0) == (0, ["venv", "pip", "compileall"])
+    assert build(0) == (0, ["compileall"])
+    with (tmp_path / "requirements.txt").open("a") as file:
+        file.write("another==1\n")
+    assert build(0) == (0, ["venv", "pip", "compileall"])
+
+
+def test_run_ends_in_one_process() -> None:
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    assert deploy["run"].startswith("exec ") and deploy["sim"].startswith("exec ")
