Send cold servers half as much again as the slowest ramp allows

Checked: allowances follow ramp() times the sends of warm servers; ramp() is the slowest warm-up that the settings allow, and servers are warm in a third of it to all of it. Ruled out: first allowances (drawn, their sum is right) and a looser slot bound (no gain). At fault: takes(), which gives no more than the surest part. The rule allows four times the capacity.

Change: WARMS = 1.5 times the ramp.

--- a/mapleshunt/control.py
+++ b/mapleshunt/control.py
@@ -32,6 +32,7 @@
 REST = 5.0  # a server's mean answer time over the best mean of late that earns it a rest
 SMOOTH = 0.1  # EWMA weight for answer times and server speed
 DRAW = 4  # servers over gateways, times this, are compared, two at least, drawn at random: no herd, less CPU
+WARMS = 1.5  # sends to a cold server over its ramp, the slowest the settings allow: most warm sooner
 FAR = 1.1  # load factor of a server in another zone: decides between near equals only
 PROVEN = ("full", "unreachable", "unsent")  # outcomes that prove an attempt never ran
 
@@ -332,7 +333,7 @@
     def takes(self, server: Server) -> bool:
         """A cold server gets its part of what warm ones get; first allowances are drawn: the sum counts."""
         ramp = self.ramp(server)
-        server.allowance.rate = ramp * self.warm.value / self.warm.span
+        server.allowance.rate = WARMS * ramp * self.warm.value / self.warm.span
         return ramp >= 1 or server.allowance.fill(self.now) >= 1
 
     def load(self, server: Server) -> float:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -537,6 +537,28 @@
     assert first <= 10
 
 
+def test_forty_gateways_together_send_a_cold_server_its_part_at_once_and_no_more() -> None:
+    """The rule: four times its present capacity in a second, which is a quarter of a warm one's at its start.
+
+    By the slowest ramp alone it got less than it could do, while warm servers had queues.
+    """
+    cold, warm = [0] * 6, 0
+    for seed in range(40):
+        driver = Driver(servers=5, instances=40, cold_from=0.25, cold=15000)
+        driver.gateway.random.seed(seed)
+        for tick in range(-100, 60):  # ten requests a second for ten seconds, then six with a cold server
+            if tick == 0:
+                driver.feed(Members("partial", (ServerEntry(9, started=driver.now),)))
+            for send in sends(driver.ask()):
+                if tick >= 0:
+                    cold[tick // 10] += send.server == 9
+                    warm += send.server != 9
+                driver.answer(send)
+            driver.wait(100)
+    each = warm / 5 / 6  # a warm server's sends in a second
+    assert 0.5 * each < sum(cold) / 6 and max(cold) < each
+
+
 def test_pace_told_by_peers_shrinks_the_bound() -> None:
     driver = Driver(instances=300, peers=True)
     for _ in range(200):
