Answer operators at a door of their own: ready, and figures by class

Design: a second listener on the gateway's own loop, one call on each connection; at most 16 callers on descriptors taken from the limit before the parts of clients and till servers are cut; at the limit the caller that has waited longest for its own bytes makes room. Counts by class hang on the stage relay, where the one final answer is given, and on the write of an attempt's last byte, so they cannot drift from the counters. Not taken: a thread of its own for the door, which would answer under any load but read the decisions' state while they change it; and a web framework's server, which holds callers without bound and loads far more.

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -27,6 +27,7 @@
 from .net.upstream import UpstreamGroup
 
 if TYPE_CHECKING:
+    from .net.door import Door, Reply
     from .record.writer import Recorder
 
 FIRST_WAIT = 0.002  # s that the loop waits, with all made ready, before the gateway listens
@@ -35,6 +36,7 @@
 ACCEPT_AT_ONCE = 8
 COUNTERS_EVERY = 10_000  # ms: one that is killed prints none at its end
 RESTED = 0.1  # s with nothing owed after which a connection makes room when there are many
+DOOR = 17  # descriptors of the operators' door and its callers, where there is one
 RESERVE = 32  # descriptors kept for the log, the loop, the listener, discovery and peers
 SERVERS_PART = 0.4  # part of the other descriptors that connections to till servers may take
 
@@ -44,7 +46,7 @@
 
     def __init__(self, config: Config) -> None:
         self.config, self.counters = config, Counters()
-        usable = max(16, config.sockets - RESERVE)
+        usable = max(16, config.sockets - RESERVE - (DOOR if config.management else 0))
         upstream = int(usable * SERVERS_PART)
         self.most_clients = usable - upstream
         # Usual clients hold a third at most: well before that, those that ask no more give up their places.
@@ -65,6 +67,7 @@
         self.most_unwritten = min(client.MOST_UNWRITTEN, max(4 * resp.MAX_VALUE, config.memory // 64))
         self.service.ended = self.resume_accepting
         self.recorder: Recorder | None = None
+        self.door: Door | None = None
 
     def ready(self) -> bool:
         return bool(self.group.servers)
@@ -138,6 +141,10 @@
                     config.peer_listen, config.peers, config.peers_all, self.heard, self.counters
                 )
                 self.driver.tell = self.peers.tell
+            if config.management is not None:
+                from .net.door import Door
+
+                self.door = Door(config.management, self.called, self.counters)
             listener = socket.socket(family_of(config.listen))
             self.listeners = [listener]
             listener.setblocking(False)
@@ -152,9 +159,35 @@
         for listener in self.listeners:
             listener.listen(BACKLOG)
         self.start_accepting()
+        if self.door is not None:
+            self.door.open()
         listen = text_of(self.config.listen)
         log.say("started", name=self.config.name, listen=listen, servers=len(self.group.servers))
 
+    def called(self, method: str, path: str) -> Reply:
+        """What the operators' door answers."""
+        from .net.door import Reply
+
+        match method, path:
+            case "GET", "/_ready":
+                takes = self.accepting and not self.leaving
+                return Reply(200, "yes\n") if takes else Reply(503, "no\n")
+            case "GET", "/_vars":
+                return Reply(200, self.figures())
+        return Reply(404, "no such call\n")
+
+    def figures(self) -> str:
+        from .duty import figures
+
+        listed, now = self.group.servers.values(), self.driver.now()
+        known = self.driver.gateway.servers
+        avoided = sum(
+            one.member.state != "ready" or (number in known and known[number].barred > now)
+            for number, one in self.group.servers.items()
+        )
+        gauges = {"pending": len(self.driver.open), "members": len(listed), "members_unavailable": avoided}
+        return figures.text_of(self.config.settings.classes, self.counters.classes, gauges)
+
     def switch_on(self) -> None:
         """What the operators' file asks for; without one nothing of it is loaded. Raises `ConfigError`."""
         if not os.environ.get("PROXY_OPERATORS"):
@@ -237,6 +270,8 @@
             self.peers.close()
         if self.recorder is not None:
             self.recorder.close()
+        if self.door is not None:
+            self.door.close()
         self.print_counters()
 
     async def leave(self) -> None:
--- a/mapleshunt/net/config.py
+++ b/mapleshunt/net/config.py
@@ -27,6 +27,7 @@
     seed: int
     sockets: int
     memory: int  # bytes
+    management: Address | None  # the operators' door
     peer_listen: Address | None
     peers: tuple[Address, ...]
     peers_all: Address | None
@@ -75,6 +76,7 @@
         if settings.peers and len(peers) != settings.instances:
             raise ConfigError(f"peers must name {settings.instances} gateways, not {len(peers)}")
         allowed = raw.get("limits") or {}
+        door = env.get("PROXY_MANAGEMENT") or raw.get("management")
         together = settings.peers and settings.instances > 1
         return Config(
             name=env.get("PROXY_NAME") or str(raw["name"]),
@@ -83,6 +85,7 @@
             seed=_seed(raw.get("seed") or "0"),
             sockets=int(allowed.get("sockets") or 1024),
             memory=int(float(allowed.get("memory_mb") or 192) * (1 << 20)),
+            management=address(door, "management") if door else None,
             peer_listen=address(raw["peer_listen"], "peer_listen") if together else None,
             peers=peers,
             peers_all=address(raw["peers_all"], "peers_all") if together else None,
--- a/mapleshunt/net/counters.py
+++ b/mapleshunt/net/counters.py
@@ -12,10 +12,14 @@
 
     def __init__(self) -> None:
         self.counts: Counter[str] = Counter()
+        self.classes: Counter[tuple[str, str]] = Counter()  # by figure and class of requests
 
     def add(self, name: str, amount: int = 1) -> None:
         self.counts[name] += amount
 
+    def add_class(self, name: str, cls: str) -> None:
+        self.classes[name, cls] += 1
+
     def print(self, **gauges: object) -> None:
         fields: dict[str, object] = {**dict(sorted(self.counts.items())), **gauges}
         log.say("counters", **fields)
--- /dev/null
+++ b/mapleshunt/net/door.py
@@ -0,0 +1,126 @@
+"""The operators' door: a second address, HTTP/1.1, one call on each connection.
+
+A caller may hold on without a whole call: there are places for a few, and at the limit the one that has
+waited longest for its own last byte makes room. A call that has come whole is answered at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream, StreamClosedError
+
+from . import http, log
+from .buffer import ReadBuffer, TooLong
+from .config import Address, family_of
+from .counters import Counters
+
+CALLERS = 16  # connections held at once, each a descriptor
+AT_ONCE = 4  # connections accepted in one turn of the loop
+PATIENCE = 6.0  # s that a caller may take for its call
+LINGER = 0.5  # s for which a caller that has its answer may end the connection itself
+BACKLOG = 64
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    status: int
+    body: str = ""
+
+
+class Door:
+    """Answers calls with what `call(method, path)` returns."""
+
+    def __init__(self, listen: Address, call: Callable[[str, str], Reply], counters: Counters) -> None:
+        """Raises OSError if the address cannot be had."""
+        self.call, self.counters = call, counters
+        self.callers: dict[Caller, None] = {}  # the oldest first
+        self.listener = socket.socket(family_of(listen))
+        self.listener.setblocking(False)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(listen)
+
+    def open(self) -> None:
+        self.listener.listen(BACKLOG)
+        IOLoop.current().add_handler(self.listener, lambda *_: self._accept(), IOLoop.READ)
+
+    def _accept(self) -> None:
+        for _ in range(AT_ONCE):
+            try:
+                connection, _address = self.listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                self.counters.add("door_accepts_failed")
+                log.say("door_accept_failed", why=error)
+                return
+            connection.setblocking(False)
+            if len(self.callers) >= CALLERS:
+                waiting = (one for one in self.callers if not one.answered)
+                next(waiting, next(iter(self.callers))).end("made_room")
+            caller = Caller(IOStream(connection, max_buffer_size=2 * http.MAX_HEAD), self)
+            self.callers[caller] = None
+            caller.task = asyncio.get_running_loop().create_task(caller.run())
+
+    def close(self) -> None:
+        IOLoop.current().remove_handler(self.listener)
+        self.listener.close()
+        for caller in list(self.callers):
+            caller.end("shutdown")
+
+
+class Caller:
+    """One connection to the door."""
+
+    def __init__(self, stream: IOStream, door: Door) -> None:
+        self.stream, self.door = stream, door
+        self.answered, self.said = False, "none"
+        self.task: asyncio.Task[None] | None = None
+
+    async def run(self) -> None:
+        reason = "caller_closed"
+        try:
+            async with asyncio.timeout(PATIENCE):
+                reply = await self._reply()
+                self.answered = True
+                await self.stream.write(http.response(reply.status, reply.body.encode()))
+            self.stream.socket.shutdown(socket.SHUT_WR)
+            async with asyncio.timeout(LINGER):  # closing over unread bytes may take the answer away
+                while True:
+                    await self.stream.read_into(bytearray(1024), partial=True)
+        except TimeoutError:
+            reason = "answered" if self.answered else "no_call"
+        except (StreamClosedError, OSError):
+            reason = "answered" if self.answered else reason
+        except Exception:
+            reason = "exception"
+            self.door.counters.add("exceptions")
+            log.trouble("door_exception")
+        self.end(reason)
+
+    async def _reply(self) -> Reply:
+        buffer = ReadBuffer(http.MAX_HEAD)
+        try:
+            while not (found := http.parse_request(buffer.data, buffer.start, buffer.end)):
+                await buffer.fill(self.stream)
+        except (http.ProtocolError, TooLong) as error:
+            self.door.counters.add("door_malformed")
+            return Reply(400, f"{error}\n")
+        self.said = f"{found.method} {found.path}"
+        self.door.counters.add("door_calls")
+        try:
+            return self.door.call(found.method, found.path)
+        except Exception:
+            self.door.counters.add("exceptions")
+            log.trouble("door_exception", call=self.said)
+            return Reply(500, "failed\n")
+
+    def end(self, reason: str) -> None:
+        if self in self.door.callers:
+            del self.door.callers[self]
+            self.stream.close()
+            log.say("door_caller_ended", reason=reason, call=self.said)
--- a/mapleshunt/net/http.py
+++ b/mapleshunt/net/http.py
@@ -83,3 +83,36 @@
 
 def get(path: str, host: str) -> bytes:
     return f"GET {path} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode("ascii")
+
+
+@dataclass(slots=True, frozen=True)
+class Request:
+    method: str
+    path: str
+
+
+def parse_request(data: bytearray, start: int, end: int) -> Request | None:
+    """The head of a call, or None until it is whole. What may follow it is not looked at."""
+    at = data.find(END, start, min(end, start + MAX_HEAD))
+    if at < 0:
+        if end - start >= MAX_HEAD:
+            raise ProtocolError("a head is too long")
+        return None
+    words = bytes(data[start:at]).split(b"\r\n", 1)[0].decode("latin-1").split(" ")
+    method = words[0].isascii() and words[0].isalpha()
+    if len(words) != 3 or not method or not words[1] or not words[2].startswith("HTTP/1."):
+        raise ProtocolError("a request line is malformed")
+    return Request(words[0], words[1])
+
+
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+           500: "Internal Server Error", 503: "Service Unavailable"}  # fmt: skip
+
+
+def response(status: int, body: bytes) -> bytes:
+    """An answer in plain text, the last on its connection."""
+    head = (
+        f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: text/plain; charset=utf-8\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode("ascii") + body
--- a/mapleshunt/net/stages/relay.py
+++ b/mapleshunt/net/stages/relay.py
@@ -10,6 +10,7 @@
     if context.end():
         context.final = "served"
         counters.add("answers_served")
+        counters.add_class("completed", context.request.cls)
         context.answer.serve(value)
 
 
@@ -17,6 +18,7 @@
     if context.end():
         context.final = "refused"
         counters.add("answers_rejected")
+        counters.add_class("rejected", context.request.cls)
         context.answer.reject(wait)
 
 
@@ -24,4 +26,5 @@
     if context.end():
         context.final = "failed"
         counters.add("answers_failed")
+        counters.add_class("failed", context.request.cls)
         context.answer.fail()
--- a/mapleshunt/net/stages/send.py
+++ b/mapleshunt/net/stages/send.py
@@ -27,7 +27,10 @@
         if attempt.given_up is not None or left < 1:
             group.release(connection)
             return Ending("unsent")
-        reply = await connection.exchange(context.message.encode(int(left)))
+        reply = await connection.exchange(
+            context.message.encode(int(left)),
+            lambda: group.counters.add_class("upstream_requests", context.request.cls),
+        )
     except NoRoom:
         return Ending("unsent")
     except DialFailed:
--- a/mapleshunt/net/upstream.py
+++ b/mapleshunt/net/upstream.py
@@ -10,7 +10,7 @@
 import errno
 import socket
 import zlib
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -47,6 +47,11 @@
         self.written = written
 
 
+def _tell(written: asyncio.Future[None], whole: Callable[[], None]) -> None:
+    if not written.cancelled() and written.exception() is None:
+        whole()
+
+
 @dataclass(slots=True, frozen=True)
 class Member:
     """A till server in discovery's list."""
@@ -105,14 +110,21 @@
             return error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
         return False
 
-    async def exchange(self, data: bytes) -> Ending:
-        """Write a command and wait for how it ends. Raises `ConnectionLost`."""
+    async def exchange(self, data: bytes, whole: Callable[[], None] = lambda: None) -> Ending:
+        """Write a command and wait for how it ends; `whole` is called once its last byte is written.
+
+        Raises `ConnectionLost`.
+        """
         if self.stream.closed():
             raise ConnectionLost(written=False)
         loop = asyncio.get_running_loop()
         self.waiting, begun = loop.create_future(), loop.time()
         self.tries += 1
         written = self.stream.write(data)
+        if written.done():
+            _tell(written, whole)
+        else:
+            written.add_done_callback(lambda one: _tell(one, whole))
         try:
             return await self.waiting
         except StreamClosedError:
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,186 @@
+"""The operators' door: a gateway as a process, with callers that hold on beside it."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mapleshunt.net import door, http, resp
+
+ROOT = Path(__file__).parent.parent
+EXAMPLE = ROOT / "examples" / "config.json"
+READY = resp.command([b"PING"])
+
+
+def run(*args: str, **env: str) -> subprocess.Popen[str]:
+    return subprocess.Popen(
+        [sys.executable, *args], cwd=ROOT, env={**os.environ, **env}, text=True,
+        stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
+    )  # fmt: skip
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class Gateway:
+    def __init__(self, discovery: str, **env: str) -> None:
+        self.client, self.door = ("127.0.0.1", free_port()), ("127.0.0.1", free_port())
+        self.process = run(
+            "-m", "mapleshunt", PROXY_CONFIG=str(EXAMPLE), PROXY_DISCOVERY=discovery,
+            PROXY_LISTEN=f"127.0.0.1:{self.client[1]}", PROXY_MANAGEMENT=f"127.0.0.1:{self.door[1]}", **env,
+        )  # fmt: skip
+
+    def call(self, method: str, path: str) -> tuple[int, str]:
+        with socket.create_connection(self.door, timeout=20) as one:
+            one.sendall(f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n".encode())
+            data = bytearray()
+            while got := one.recv(65536):
+                data += got
+        found = http.parse_response(data, 0, len(data))
+        assert found is not None and not found[0].keep
+        return found[0].status, bytes(found[0].body).decode()
+
+    def until(self, status: int) -> None:
+        end = time.monotonic() + 60
+        while time.monotonic() < end:
+            with contextlib.suppress(OSError):
+                if self.call("GET", "/_ready")[0] == status:
+                    return
+            time.sleep(0.02)
+        raise AssertionError("not in time")
+
+    def figures(self) -> dict[str, tuple[str, str]]:
+        status, text = self.call("GET", "/_vars")
+        assert status == 200
+        pairs = [line.partition(":") for line in text.splitlines()]
+        return {name: (value.split("|")[0], value.split("|")[1]) for name, _, value in pairs}
+
+
+@pytest.fixture
+def gateway() -> Iterator[Gateway]:
+    toy = run("-m", "examples.toy_server", "0")
+    assert toy.stdout is not None
+    one = Gateway(toy.stdout.readline().split()[-1])
+    one.until(200)
+    yield one
+    for process in (one.process, toy):
+        process.kill()
+        process.communicate()
+
+
+def ask(to: socket.socket, number: int, cls: bytes = b"lookup") -> None:
+    pairs = b"c=%b,t=small,d=5000,units=1,spread=1,first=0" % cls
+    to.sendall(resp.command([b"SVC.QUERY", b"00000000b4d65521", b"%016x" % number, pairs]))
+
+
+def replies(client: socket.socket, count: int) -> list[resp.Reply]:
+    data, got, at = bytearray(), list[resp.Reply](), 0
+    while len(got) < count:
+        data = data + client.recv(65536)  # views of what was read before hold on to it
+        while found := resp.parse_reply(data, at, len(data)):
+            got.append(found[0])
+            at = found[1]
+    return got
+
+
+def test_figures_count_every_end_and_every_attempt(gateway: Gateway) -> None:
+    assert gateway.figures()["gateway.completed.lookup"] == ("0", "c")
+    with socket.create_connection(gateway.client, timeout=20) as client:
+        for number in range(9):
+            ask(client, number)
+        ask(client, 99, b"odd")  # no request of any class: under no count
+        got = replies(client, 10)
+    served = sum(isinstance(one, memoryview) for one in got)
+    figures = gateway.figures()
+    assert served >= 5 and figures["gateway.completed.lookup"] == (str(served), "c")
+    assert figures["gateway.rejected.lookup"] == (str(9 - served), "c")
+    assert figures["gateway.upstream_requests.lookup"] == (str(served), "c")
+    assert figures["gateway.failed.lookup"] == ("0", "c")
+    assert figures["gateway.pending"] == ("0", "g") and figures["gateway.members"] == ("2", "g")
+    assert figures["gateway.members_unavailable"] == ("0", "g")
+
+
+def test_answers_beside_callers_that_hold_on(gateway: Gateway) -> None:
+    held = []
+    for number in range(3 * door.CALLERS):
+        held.append(socket.create_connection(gateway.door, timeout=20))
+        held[-1].sendall(b"GET /_va"[: number % 9])
+    assert gateway.call("GET", "/_ready")[0] == 200
+    assert sum(one.recv(1) == b"" for one in held[: 2 * door.CALLERS]) == 2 * door.CALLERS  # made room
+    held[-1].sendall(b"GET /_ready HTTP/1.1\r\n\r\n"[len(held) % 9 - 1 :])  # the newest may still call
+    for one in held:
+        one.close()
+
+
+BAD = b"\r\n\r\n", b"GET /_vars\r\n\r\n", b"\xff\xfe / HTTP/1.1\r\n\r\n", b"x" * 9000
+
+
+@pytest.mark.parametrize("bad", BAD)
+def test_bad_bytes_end_their_connection_only(gateway: Gateway, bad: bytes) -> None:
+    with socket.create_connection(gateway.door, timeout=20) as one:
+        one.sendall(bad)
+        data = b""
+        with contextlib.suppress(ConnectionResetError):
+            while got := one.recv(4096):
+                data += got
+        assert data.startswith(b"HTTP/1.1 400 ")
+    assert gateway.call("GET", "/_nothing")[0] == 404 and gateway.call("PUT", "/_vars")[0] == 404
+
+
+def test_a_door_that_cannot_be_had_is_one_line_and_exit_2() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        process = subprocess.run(
+            [sys.executable, "-m", "mapleshunt"], cwd=ROOT, capture_output=True, text=True, timeout=60,
+            env={**os.environ, "PROXY_CONFIG": str(EXAMPLE), "PROXY_LISTEN": "127.0.0.1:0",
+                 "PROXY_MANAGEMENT": f"127.0.0.1:{taken.getsockname()[1]}"},
+        )  # fmt: skip
+    assert process.returncode == 2 and process.stderr.count("\n") == 1
+    assert process.stderr.startswith("mapleshunt: cannot start: ")
+
+
+def test_without_an_address_for_it_nothing_of_the_door_is_loaded() -> None:
+    code = """
+import asyncio, sys
+from mapleshunt.__main__ import Program
+from mapleshunt.net import config
+
+async def start():
+    text = open(sys.argv[1]).read()
+    Program(config.parse(text, {"PROXY_LISTEN": "127.0.0.1:0"})).prepare()
+    print([one for one in sys.modules if "door" in one or "mapleshunt.duty" in one])
+
+asyncio.run(start())
+"""
+    args = [sys.executable, "-c", code, str(EXAMPLE)]
+    done = subprocess.run(args, cwd=ROOT, capture_output=True, text=True)
+    assert done.stdout == "[]\n", done.stderr
+
+
+@given(st.binary(max_size=200), st.integers(0, 200))
+def test_a_head_is_read_alike_in_whatever_pieces_it_comes(data: bytes, cut: int) -> None:
+    text = bytearray(b"GET /" + data + b" HTTP/1.1\r\nA: b\r\n\r\n")
+    whole: object
+    try:
+        whole = http.parse_request(text, 0, len(text))
+    except http.ProtocolError:
+        whole = None
+    try:
+        part = http.parse_request(text, 0, min(cut, len(text)))
+    except http.ProtocolError:
+        part = None
+    assert part is None or part == whole
+
+
