Drain a gateway at the operators' door; one state that SIGTERM shares

Design: one state without I/O (mapleshunt/duty/life.py): working, drained, leaving. A drained gateway says no to PING and /_ready, keeps its listener so that a no is heard, keeps connections for the 0.5 s in which a front learns, ends each as soon as nothing is owed on it, and from 1.5 s on reads none on which an answer is owed. Peers are heard and quotas kept throughout. Not taken: closing the listener while drained, which a front cannot tell from a death; and closing all connections at once at 0.5 s, which would lose what is owed on them. Cause of the one defect met on the way: a connection that always owes an answer was never done, so it would have outlived any drain; _take_whole went on taking commands (mapleshunt/net/client.py). With LAST_CALL it ends; the test with a client that always asks on does not end without it.

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -17,6 +17,7 @@
 from tornado.iostream import IOStream
 
 from . import interface as i
+from .duty.life import Life
 from .net import client, log, resp
 from .net.backoff import Backoff
 from .net.config import Address, Config, ConfigError, family_of, load, reload, text_of
@@ -31,7 +32,8 @@
     from .record.writer import Recorder
 
 FIRST_WAIT = 0.002  # s that the loop waits, with all made ready, before the gateway listens
-STAY = 0.5  # s after SIGTERM for which new connections are still taken
+LATE = 0.5  # s past the longest deadline for which it stays to finish what it has taken
+TEND_EVERY = 50  # ms
 BACKLOG = 512  # connections that wait in the kernel to be accepted
 ACCEPT_AT_ONCE = 8
 COUNTERS_EVERY = 10_000  # ms: one that is killed prints none at its end
@@ -60,7 +62,7 @@
         self.revision: int | None = None  # of the list known
         self.peers: Peers | None = None
         self.stopped = asyncio.Event()
-        self.leaving = False
+        self.life = Life()
         self.listeners: list[socket.socket] = []
         self.accepting = False
         # A client that does not read may make the gateway hold this much: no more than a part of its memory.
@@ -70,7 +72,7 @@
         self.door: Door | None = None
 
     def ready(self) -> bool:
-        return bool(self.group.servers)
+        return self.life.wanted() and bool(self.group.servers)
 
     def told(self, found: MemberList) -> None:
         kind: i.ListKind = "complete" if found.complete else "partial"
@@ -114,7 +116,8 @@
         self.service.sweep(self.many_clients, RESTED)
 
     def resume_accepting(self) -> None:
-        if not self.accepting and not self.leaving and len(self.service.connections) < self.most_clients:
+        room = len(self.service.connections) < self.most_clients
+        if not self.accepting and self.life.accepts(self.time()) and room:
             log.say("accepting_resumed", client_connections=len(self.service.connections))
             self.start_accepting()
 
@@ -159,6 +162,7 @@
         for listener in self.listeners:
             listener.listen(BACKLOG)
         self.start_accepting()
+        self.life.listening(self.time())
         if self.door is not None:
             self.door.open()
         listen = text_of(self.config.listen)
@@ -170,12 +174,31 @@
 
         match method, path:
             case "GET", "/_ready":
-                takes = self.accepting and not self.leaving
-                return Reply(200, "yes\n") if takes else Reply(503, "no\n")
+                return Reply(200, "yes\n") if self.life.takes() else Reply(503, "no\n")
+            case "POST", "/_lameduck/on":
+                self._told("drained", self.life.drain(self.time()))
+                return Reply(200, "drained\n") if self.life.phase == "drained" else Reply(503, "no\n")
+            case "POST", "/_lameduck/off":
+                self._told("back_to_work", self.life.resume(self.time()))
+                return Reply(200, "working\n") if self.life.takes() else Reply(503, "no\n")
             case "GET", "/_vars":
                 return Reply(200, self.figures())
         return Reply(404, "no such call\n")
 
+    def _told(self, event: str, changed: bool) -> None:
+        if changed:
+            log.say(event, open=len(self.driver.open), client_connections=len(self.service.connections))
+        self.tend()
+
+    def tend(self) -> None:
+        """Do what the gateway's state asks for."""
+        now = self.time()
+        self.service.tend(self.life.closes(now), not self.life.reads(now))
+
+    @staticmethod
+    def time() -> float:
+        return asyncio.get_running_loop().time()
+
     def figures(self) -> str:
         from .duty import figures
 
@@ -248,6 +271,7 @@
         sweeps = [
             PeriodicCallback(self.group.sweep, 1000),
             PeriodicCallback(self.sweep_clients, 100),
+            PeriodicCallback(self.tend, TEND_EVERY),
             PeriodicCallback(self.print_counters, COUNTERS_EVERY),
         ]
         for sweep in sweeps:
@@ -276,16 +300,17 @@
 
     async def leave(self) -> None:
         """Go on for a little, since the front learns late; then finish what was taken."""
+        self.life.leave(self.time())
         log.say("stopping", open=len(self.driver.open))
-        await asyncio.sleep(STAY)
-        self.leaving = True
+        while self.life.accepts(self.time()):
+            await asyncio.sleep(0.01)
         self.stop_accepting()
         for listener in self.listeners:
             listener.close()
-        self.service.drain()
+        self.tend()
         longest = max((cls.deadline for cls in self.config.settings.classes.values()), default=0.0)
         try:
-            async with asyncio.timeout(longest / 1000 + STAY):
+            async with asyncio.timeout(longest / 1000 + LATE):
                 while self.service.connections or self.driver.open:
                     await asyncio.sleep(0.01)
         except TimeoutError:  # a client that does not read must not hold up the restart
--- /dev/null
+++ b/mapleshunt/duty/life.py
@@ -0,0 +1,80 @@
+"""Whether the gateway works, is drained or leaves: one state that SIGTERM and the operators' door share.
+
+No I/O and no clock: `now` is handed in, in seconds of any clock that advances evenly. The table of what each
+state does is in `docs/operators-door.md`.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Literal
+
+Phase = Literal["starting", "working", "drained", "leaving"]
+
+# s for which new clients and idle connections are kept after the front could first read a "no": it asks ten
+# times a second and stops 0.2 s after one; at a planned restart it goes on for 0.4 s at most.
+STAY = 0.5
+# s after which a connection with an answer owed is not read any further: with what it holds answered it can
+# end. The operators want none with a request of the last 2 s left after 4 s.
+LAST_CALL = 1.5
+
+
+class Life:
+    """Begins in "starting"; "leaving" is never left."""
+
+    def __init__(self) -> None:
+        self.phase: Phase = "starting"
+        self.since = -math.inf  # when the phase began
+        self.succeeded = False  # another process takes the clients by the same address
+
+    def _enter(self, phase: Phase, now: float) -> bool:
+        if self.phase == "leaving" or self.phase == phase:
+            return False
+        self.phase, self.since = phase, now
+        return True
+
+    # What happens. Each returns whether it changed anything.
+
+    def listening(self, now: float) -> bool:
+        return self.phase == "starting" and self._enter("working", now)
+
+    def drain(self, now: float) -> bool:
+        return self.phase == "working" and self._enter("drained", now)
+
+    def resume(self, now: float) -> bool:
+        return self.phase == "drained" and self._enter("working", now)
+
+    def leave(self, now: float, succeeded: bool = False) -> bool:
+        was = self.since if self.phase == "drained" else None
+        if not self._enter("leaving", now):
+            return False
+        self.succeeded = succeeded
+        if was is not None:  # it was emptied already: nobody waits for more
+            self.since = was
+        return True
+
+    # What that means
+
+    def takes(self) -> bool:
+        """Is a "yes" owed to operators who ask whether this process takes clients?"""
+        return self.phase == "working"
+
+    def wanted(self) -> bool:
+        """Is a "yes" owed to a front that asks with PING? One that was succeeded says so for both."""
+        return self.phase == "working" or (self.phase == "leaving" and self.succeeded)
+
+    def accepts(self, now: float) -> bool:
+        """Are new connections taken? A drained gateway takes them, for a "no" must be heard too."""
+        if self.phase == "leaving":
+            return not self.succeeded and now - self.since < STAY
+        return self.phase != "starting"
+
+    def closes(self, now: float) -> bool:
+        """Does a client connection end as soon as nothing is owed on it?"""
+        if self.phase == "leaving" and self.succeeded:
+            return True
+        return self.phase in ("drained", "leaving") and now - self.since >= STAY
+
+    def reads(self, now: float) -> bool:
+        """Is a connection read on while an answer is owed on it?"""
+        return self.phase not in ("drained", "leaving") or now - self.since < LAST_CALL
--- a/mapleshunt/net/client.py
+++ b/mapleshunt/net/client.py
@@ -42,7 +42,8 @@
         self.connections: dict[ClientConnection, None] = {}  # the oldest first
         self.ids: set[str] = set()  # of the requests that are open
         self.ready: Callable[[], bool] = lambda: True
-        self.draining = False
+        self.draining = False  # a connection ends as soon as nothing is owed on it
+        self.deaf = False  # one with an answer owed is not read any further
         self.ended: Callable[[], None] = lambda: None  # told of each connection that ends
 
     def serve(self, stream: IOStream) -> None:
@@ -81,11 +82,13 @@
         while len(self.connections) > many and self.make_room(rested):
             pass
 
-    def drain(self) -> None:
-        """From now on a connection is closed as soon as nothing is owed on it."""
-        self.draining = True
-        for connection in list(self.connections):
-            connection.close_if_done()
+    def tend(self, draining: bool, deaf: bool) -> None:
+        """Close, while draining, every connection on which nothing is owed; new ones may ask first."""
+        self.draining, self.deaf = draining, deaf
+        now = asyncio.get_running_loop().time()
+        for connection in list(self.connections) if draining else ():
+            if connection.commands or now - connection.since > SILENT:
+                connection.close_if_done()
 
 
 class Slot:
@@ -132,6 +135,8 @@
         try:
             while not self.last:
                 await self._take_whole()
+                if self.last:
+                    return await self._throw_away(self.reason)
                 begun = self.buffer.start != self.buffer.end
                 await self.buffer.fill(self.stream)
                 if self.commands and not begun:
@@ -146,13 +151,15 @@
             await self._last(svc.FAILURE, "exception")
 
     async def _last(self, data: bytes, reason: str) -> None:
-        """Take no more; end once what is owed and this last line are written.
+        """Take no more; end once what is owed and this last line are written."""
+        self.last, self.reason = True, reason
+        self._slot().put(data)
+        await self._throw_away(reason)
 
-        What still comes is read and thrown away: closing over unread bytes resets the connection, and a
+    async def _throw_away(self, reason: str) -> None:
+        """What still comes is read and thrown away: closing over unread bytes resets the connection, and a
         reset can take the last line from the client.
         """
-        self.last, self.reason = True, reason
-        self._slot().put(data)
         try:
             while True:
                 await self.stream.read_into(WASTE, partial=True)
@@ -169,6 +176,9 @@
         while found := resp.parse_command(self.buffer.data, self.buffer.start, self.buffer.end):
             if self.last:  # it was ended while this waited
                 return
+            if self.service.deaf and self.slots:  # else one that always asks on would never end
+                self.last, self.reason = True, "last_call"
+                return
             self.buffer.consume(found[1])
             self.commands += 1
             if not self._take(found[0]):
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -188,7 +188,7 @@
         theirs.send(query())
         assert not connection.service.make_room()
         connection.service.sweep(9, 0.5)
-        connection.service.drain()
+        connection.service.tend(draining=True, deaf=False)
         await rest()
         assert not connection.stream.closed() and len(connection.slots) == 1
         other.close()
@@ -262,8 +262,8 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.kept = client.LINGER, client.PACE, client.STRIKES  # no step of the model rests on time
-        client.LINGER, client.PACE, client.STRIKES = 3600.0, 0.0, 1000
+        self.kept = client.LINGER, client.PACE, client.STRIKES, client.SILENT  # no step rests on time
+        client.LINGER, client.PACE, client.STRIKES, client.SILENT = 3600.0, 0.0, 1000, -1.0
         self.loop = asyncio.new_event_loop()
         self.decisions = Decisions()
         self.order: deque[list[Any]] = deque()  # [context or None, the answer's bytes or None]
@@ -399,7 +399,7 @@
     @precondition(lambda self: self.calm <= 0)
     @rule()
     def drains(self) -> None:
-        self.do(self.service.drain)
+        self.do(lambda: self.service.tend(draining=True, deaf=False))
         self.model()
 
     @precondition(lambda self: self.calm <= 0 and not self.ended and not self.left)
@@ -422,7 +422,7 @@
             self.do(lambda: self.connection.end("test over"))
             self.theirs.close()
         self.loop.close()
-        client.LINGER, client.PACE, client.STRIKES = self.kept
+        client.LINGER, client.PACE, client.STRIKES, client.SILENT = self.kept
 
 
 TestClientModel = ClientModel.TestCase
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -160,7 +161,7 @@
 async def start():
     text = open(sys.argv[1]).read()
     Program(config.parse(text, {"PROXY_LISTEN": "127.0.0.1:0"})).prepare()
-    print([one for one in sys.modules if "door" in one or "mapleshunt.duty" in one])
+    print([one for one in sys.modules if one.endswith((".door", ".figures"))])
 
 asyncio.run(start())
 """
@@ -184,3 +185,51 @@
     assert part is None or part == whole
 
 
+
+
+def test_a_drained_gateway_empties_and_takes_clients_again(gateway: Gateway) -> None:
+    """Clients ask throughout: none of their requests is lost, and their connections are closed between."""
+    with (
+        socket.create_connection(gateway.client, timeout=20) as idle,
+        socket.create_connection(gateway.client, timeout=20) as asks,
+    ):
+        idle.sendall(READY)
+        assert replies(idle, 1) == [resp.SimpleLine("PONG")]
+        assert gateway.call("POST", "/_lameduck/on") == (200, "drained\n")
+        assert gateway.call("GET", "/_ready")[0] == 503
+        number = 0
+        with contextlib.suppress(OSError):
+            while True:  # until the gateway closes it: every request before that has its answer
+                ask(asks, number)
+                if not (data := asks.recv(65536)):
+                    break
+                assert data[:1] in (b"$", b"-") and data.endswith(b"\r\n")
+                number += 1
+                time.sleep(0.02)
+        assert number > 1 and idle.recv(1) == b""
+    with socket.create_connection(gateway.client, timeout=20) as front:  # a "no" is heard, and it ends
+        front.sendall(READY)
+        assert replies(front, 1) == [resp.ErrorLine("ERR not ready")]
+        assert front.recv(1) == b""
+    assert gateway.call("POST", "/_lameduck/on")[0] == 200 and gateway.process.poll() is None
+    assert gateway.call("POST", "/_lameduck/off") == (200, "working\n")
+    with socket.create_connection(gateway.client, timeout=20) as front:
+        front.sendall(READY)
+        assert replies(front, 1) == [resp.SimpleLine("PONG")]
+    gateway.process.send_signal(signal.SIGTERM)
+    assert gateway.process.wait(timeout=30) == 0
+
+
+def test_a_client_that_always_asks_on_cannot_hold_a_drained_gateway(gateway: Gateway) -> None:
+    with socket.create_connection(gateway.client, timeout=20) as client:
+        gateway.call("POST", "/_lameduck/on")
+        ended, number = time.monotonic() + 60, 0
+        with contextlib.suppress(OSError):
+            while time.monotonic() < ended:  # two are always owed: nothing is ever done on it
+                ask(client, number)
+                ask(client, number + 1)
+                number += 2
+                if not client.recv(100):
+                    break
+        assert time.monotonic() < ended
+    assert gateway.figures()["gateway.pending"] == ("0", "g")
--- /dev/null
+++ b/tests/test_duty.py
@@ -0,0 +1,79 @@
+"""The state that SIGTERM and the operators' door share, against a model; and the wording of figures."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from mapleshunt.duty.figures import text_of
+from mapleshunt.duty.life import LAST_CALL, STAY, Life
+
+
+class LifeMachine(RuleBasedStateMachine):
+    """The model keeps the list of what happened and reads the state off it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.life, self.now = Life(), 0.0
+        self.story: list[tuple[str, float, bool]] = []
+
+    @rule(step=st.sampled_from([0.0, 0.05, 0.3, 0.5, 1.5, 4.0]))
+    def wait(self, step: float) -> None:
+        self.now += step
+
+    @rule()
+    def listen(self) -> None:
+        if self.life.listening(self.now):
+            self.story.append(("listen", self.now, False))
+
+    @rule()
+    def drain(self) -> None:
+        if self.life.drain(self.now):
+            self.story.append(("drain", self.now, False))
+
+    @rule()
+    def resume(self) -> None:
+        if self.life.resume(self.now):
+            self.story.append(("resume", self.now, False))
+
+    @rule(succeeded=st.booleans())
+    def leave(self, succeeded: bool) -> None:
+        assert self.life.leave(self.now, succeeded) == ("leave" not in [one[0] for one in self.story])
+        if "leave" not in [one[0] for one in self.story]:
+            self.story.append(("leave", self.now, succeeded))
+
+    @invariant()
+    def agrees(self) -> None:
+        last = self.story[-1] if self.story else ("start", 0.0, False)
+        before = self.story[-2] if len(self.story) > 1 else ("start", 0.0, False)
+        working = last[0] in ("listen", "resume")
+        emptying = last[1] if last[0] in ("drain", "leave") else None
+        if last[0] == "leave" and before[0] == "drain":
+            emptying = before[1]
+        gone = self.now - emptying if emptying is not None else -1.0
+        succeeded = last[0] == "leave" and last[2]
+        assert self.life.takes() == working
+        assert self.life.wanted() == (working or succeeded)
+        assert self.life.closes(self.now) == (succeeded or gone >= STAY)
+        assert self.life.reads(self.now) == (gone < LAST_CALL)
+        if last[0] == "leave":
+            assert self.life.accepts(self.now) == (not succeeded and gone < STAY)
+        else:
+            assert self.life.accepts(self.now) == (last[0] != "start")
+
+
+TestLife = LifeMachine.TestCase
+TestLife.settings = settings(derandomize=True, max_examples=60, deadline=None)
+
+
+def test_every_class_has_all_its_counts() -> None:
+    counts = Counter({("completed", "a"): 3, ("upstream_requests", "b"): 1})
+    lines = text_of(["a", "b"], counts, {"pending": 2}).splitlines()
+    assert lines == [
+        "gateway.completed.a:3|c", "gateway.rejected.a:0|c", "gateway.failed.a:0|c",
+        "gateway.upstream_requests.a:0|c", "gateway.completed.b:0|c", "gateway.rejected.b:0|c",
+        "gateway.failed.b:0|c", "gateway.upstream_requests.b:1|c", "gateway.pending:2|g",
+    ]  # fmt: skip
