Take over from a running process: one listener, knowledge handed on, old one empties

Seen on upgrade, untouched: "cannot start: [Errno 98] Address already in use" on all gateways, at the very first start too: the platform holds the clients' socket (PROXY_ACCEPT_FD), and Program.prepare bound the address anew (mapleshunt/__main__.py). Checked: the operators' door binds an address of its own and was not at fault; peers' address is bound second and would have failed next.

Design: both processes accept from the inherited socket; each holds a lock on a numbered file in TMPDIR; the older hands on quotas, slots, paces and ejections once it sees a newer one, tells what it uses from then on, and after SIGTERM ends each connection as soon as nothing is owed on it; the last to bind peers' address hears (SO_REUSEADDR). Descriptors are halved while two live.

Tests: two real processes, a client throughout, either killed at each of four steps; two upgrades in a row; knowledge half written, of another version, never given.

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
+import math
 import os
 import random
 import signal
 import socket
 import sys
+import tempfile
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -29,11 +31,13 @@
 
 if TYPE_CHECKING:
     from .net.door import Door, Reply
+    from .net.succession import Succession
     from .record.writer import Recorder
 
 FIRST_WAIT = 0.002  # s that the loop waits, with all made ready, before the gateway listens
 LATE = 0.5  # s past the longest deadline for which it stays to finish what it has taken
 TEND_EVERY = 50  # ms
+HEAR_AGAIN = 0.1  # s between two tries to have the address of peers' messages
 BACKLOG = 512  # connections that wait in the kernel to be accepted
 ACCEPT_AT_ONCE = 8
 COUNTERS_EVERY = 10_000  # ms: one that is killed prints none at its end
@@ -49,11 +53,9 @@
     def __init__(self, config: Config) -> None:
         self.config, self.counters = config, Counters()
         usable = max(16, config.sockets - RESERVE - (DOOR if config.management else 0))
-        upstream = int(usable * SERVERS_PART)
-        self.most_clients = usable - upstream
-        # Usual clients hold a third at most: well before that, those that ask no more give up their places.
-        self.many_clients = config.sockets // 5
-        self.group = UpstreamGroup(self.counters, config.dial_timeout, config.conn_idle / 3, upstream)
+        self.usable = usable
+        self.group = UpstreamGroup(self.counters, config.dial_timeout, config.conn_idle / 3, 0)
+        self.share(1)
         self.driver = Driver(config.settings, config.seed, self.group, self.counters)
         self.service = client.Service(self.driver, self.counters, config.seed, config.max_open)
         self.service.ready = self.ready
@@ -70,6 +72,17 @@
         self.service.ended = self.resume_accepting
         self.recorder: Recorder | None = None
         self.door: Door | None = None
+        self.succession: Succession | None = None
+        self.last_try_to_hear = -math.inf
+
+    def share(self, processes: int) -> None:
+        """Cut the descriptors that this process may use, one of so many of this gateway, into parts."""
+        upstream = int(self.usable * SERVERS_PART / processes)
+        self.most_clients = self.usable // processes - upstream
+        # Usual clients hold a third at most: well before that, those that ask no more give up their places.
+        self.many_clients = self.config.sockets // (5 * processes)
+        self.group.limit(upstream)
+        self.processes = processes
 
     def ready(self) -> bool:
         return self.life.wanted() and bool(self.group.servers)
@@ -139,30 +152,64 @@
                 known = member_list(config.known)
                 self.driver.feed(self.group.update("persisted", known.members))
                 self.revision = known.revision if known.members else None
-            if config.peer_listen is not None and config.peers_all is not None:
-                self.peers = Peers(
-                    config.peer_listen, config.peers, config.peers_all, self.heard, self.counters
-                )
-                self.driver.tell = self.peers.tell
+            if config.accept_fd is not None:
+                from .net.succession import Succession
+
+                folder = Path(tempfile.gettempdir())
+                self.succession = Succession(folder, config.name, self.driver, self.counters)
+            else:
+                self.hear()
             if config.management is not None:
                 from .net.door import Door
 
                 self.door = Door(config.management, self.called, self.counters)
-            listener = socket.socket(family_of(config.listen))
-            self.listeners = [listener]
-            listener.setblocking(False)
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(config.listen)
+            self.listeners = [self.listener()]
         except (ValueError, OSError) as error:
             raise ConfigError(f"cannot start: {error}") from None
         self.switch_on()
 
+    def listener(self) -> socket.socket:
+        if self.config.accept_fd is not None:  # the platform's, which other processes have too
+            listener = socket.socket(fileno=self.config.accept_fd)
+            listener.setblocking(False)
+            if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+                raise ValueError(f"descriptor {self.config.accept_fd} does not listen")
+            return listener
+        listener = socket.socket(family_of(self.config.listen))
+        listener.setblocking(False)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(self.config.listen)
+        return listener
+
+    def hear(self) -> None:
+        """Exchange messages with other gateways from now on, if the settings allow it."""
+        config = self.config
+        if config.peer_listen is not None and config.peers_all is not None:
+            shared = self.succession is not None
+            self.peers = Peers(
+                config.peer_listen, config.peers, config.peers_all, self.heard, self.counters, shared
+            )
+            self.driver.tell = self.peers.tell
+
+    def hear_if_possible(self) -> None:
+        """A process of a version that does not share the address may still have it: try again later."""
+        if self.peers is not None or self.config.peer_listen is None:
+            return
+        if self.time() - self.last_try_to_hear >= HEAR_AGAIN:
+            self.last_try_to_hear = self.time()
+            try:
+                self.hear()
+            except OSError as error:
+                log.say("peers_not_heard", why=error)
+
     def listen(self) -> None:
         """Take connections, which are refused until now."""
-        for listener in self.listeners:
+        for listener in self.listeners if self.config.accept_fd is None else ():
             listener.listen(BACKLOG)
         self.start_accepting()
         self.life.listening(self.time())
+        if self.succession is not None:
+            self.succession.ready()
         if self.door is not None:
             self.door.open()
         listen = text_of(self.config.listen)
@@ -193,6 +240,11 @@
     def tend(self) -> None:
         """Do what the gateway's state asks for."""
         now = self.time()
+        if self.succession is not None:
+            self.succession.tend(self.life.takes())
+            self.hear_if_possible()
+            if (processes := 1 + self.succession.together) != self.processes:
+                self.share(processes)
         self.service.tend(self.life.closes(now), not self.life.reads(now))
 
     @staticmethod
@@ -280,6 +332,9 @@
         # Only now: what comes in while a start uses up the processor stands unread in the kernel's queue for
         # as long, and its patience would be counted from when it was read.
         await asyncio.sleep(FIRST_WAIT)
+        if self.succession is not None:
+            await self.succession.receive()
+            self.hear_if_possible()
         self.listen()
         await self.stopped.wait()
         await self.leave()
@@ -296,12 +351,15 @@
             self.recorder.close()
         if self.door is not None:
             self.door.close()
+        if self.succession is not None:
+            self.succession.close()
         self.print_counters()
 
     async def leave(self) -> None:
         """Go on for a little, since the front learns late; then finish what was taken."""
-        self.life.leave(self.time())
-        log.say("stopping", open=len(self.driver.open))
+        succeeded = self.succession is not None and self.succession.succeeded()
+        self.life.leave(self.time(), succeeded)
+        log.say("stopping", open=len(self.driver.open), succeeded=succeeded)
         while self.life.accepts(self.time()):
             await asyncio.sleep(0.01)
         self.stop_accepting()
--- /dev/null
+++ b/mapleshunt/duty/knowledge.py
@@ -0,0 +1,136 @@
+"""What one process of a gateway hands on to the next: quotas, slots, paces, and what it knows of servers.
+
+No I/O and no clock. `taken` reads it off the decisions, `encode` and `decode` are its text, and `give` puts
+it into the decisions of the process that follows. Times are the host's, in ms since 1970.
+"""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+from ..control import Gateway
+
+VERSION: Literal[1] = 1
+MOST_CUSTOMERS = 4000
+MOST_BYTES = 1 << 20
+FRESH = 10_000.0  # ms after which what was known is not worth having
+
+
+class CustomerNote(msgspec.Struct, array_like=True, frozen=True):
+    tag: int
+    plan: int  # its number among the plans' sorted names
+    level: float  # of its store, units
+    use: float  # units of late
+    told: float  # ms since another gateway told the store; below 0 for never
+    crowd: float
+    cost: float  # smoothed, ms
+
+
+class ServerNote(msgspec.Struct, array_like=True, frozen=True):
+    server: int
+    since: float  # its start
+    pace: float
+    barred: float  # ms for which it is still left alone
+    fails: int
+    silent: float  # ms since its last answer
+    allowance: float  # attempts that it may be sent while it is cold
+
+
+class Knowledge(msgspec.Struct, frozen=True):
+    version: Literal[1]
+    at: float  # when it was taken
+    plans: tuple[str, ...]
+    bound: float
+    pace: float
+    best: float
+    answer: float
+    word_ms: float
+    warm: float
+    alive: float
+    mean: dict[str, float]  # answer time by class
+    shares: tuple[float, ...]
+    customers: tuple[CustomerNote, ...]
+    servers: tuple[ServerNote, ...]
+
+
+def taken(gateway: Gateway, now: float) -> Knowledge:
+    """What is worth handing on at `now`. Customers whose store is full and unused need no note."""
+    known = gateway.customers.values()
+    spent = [c for c in known if c.store.fill(now) < c.store.burst or c.use.add(now) > 0.01]
+    spent.sort(key=lambda c: c.use.value, reverse=True)
+    return Knowledge(
+        version=VERSION, at=now, plans=tuple(gateway.plans), bound=gateway.bound, pace=gateway.pace,
+        best=gateway.best, answer=gateway.answer, word_ms=gateway.word_ms,
+        warm=gateway.warm.add(now), alive=gateway.alive.add(now),
+        mean=dict(gateway.mean), shares=tuple(gateway.shares),
+        customers=tuple(
+            CustomerNote(c.tag, c.code, c.store.level, c.use.value, max(-1.0, now - c.told_at)
+                         if now - c.told_at < FRESH * 10 else -1.0, c.crowd, c.k)
+            for c in spent[:MOST_CUSTOMERS]
+        ),
+        servers=tuple(
+            ServerNote(s.entry.server, s.since, s.pace, max(0.0, s.barred - now), s.fails,
+                       max(0.0, now - s.answered), s.allowance.level)
+            for s in gateway.servers.values()
+        ),
+    )  # fmt: skip
+
+
+def encode(known: Knowledge) -> bytes:
+    return msgspec.json.encode(known)
+
+
+def decode(data: bytes) -> Knowledge:
+    """Raises ValueError for what is not whole, not well formed, or of another version."""
+    if len(data) > MOST_BYTES:
+        raise ValueError(f"more than {MOST_BYTES} bytes")
+    return msgspec.json.decode(data, type=Knowledge)
+
+
+def give(gateway: Gateway, known: Knowledge, now: float) -> None:
+    """Put it into decisions that have heard of the servers and of no request yet.
+
+    Raises ValueError, with nothing changed, if it is too old or of other plans. Nobody's store gets more than
+    it had, or than the settings of now let it hold.
+    """
+    if not -FRESH <= now - known.at <= FRESH:
+        raise ValueError(f"taken {now - known.at:.0f} ms ago")
+    if known.plans != tuple(gateway.plans) or len(known.shares) != len(known.plans):
+        raise ValueError("of other plans")
+    if any(not 0 <= note.plan < len(known.plans) for note in known.customers):
+        raise ValueError("a plan's number is out of range")
+    if min(known.bound, known.pace, known.best, known.answer, known.word_ms) <= 0:
+        raise ValueError("a mean is not above 0")
+    gateway.bound = min(known.bound, 3 * gateway.ample)
+    gateway.pace, gateway.best, gateway.answer = known.pace, known.best, known.answer
+    gateway.word_ms = known.word_ms
+    gateway.warm.add(now, max(0.0, known.warm))
+    gateway.alive.add(now, max(0.0, known.alive))
+    gateway.mean.update({name: known.mean[name] for name in gateway.mean if known.mean.get(name, 0.0) > 0})
+    gateway.shares = list(known.shares)
+    for note in known.customers[:MOST_CUSTOMERS]:
+        c = gateway.record(note.tag, note.plan)
+        c.store.level, c.store.at = min(c.store.burst, note.level), min(known.at, now)
+        c.use.value, c.use.at = max(0.0, note.use), min(known.at, now)
+        c.told_at = now - note.told if note.told >= 0 else c.told_at
+        c.crowd, c.k = max(0.0, note.crowd), max(0.0, note.cost)
+    for mark in known.servers:
+        server = gateway.servers.get(mark.server)
+        if server is not None and server.since == mark.since:
+            server.pace, server.fails = max(1e-6, mark.pace), max(0, mark.fails)
+            server.barred = now + mark.barred if mark.barred > 0 else 0.0
+            server.answered = now - max(0.0, mark.silent)
+            server.allowance.level = min(server.allowance.burst, mark.allowance)
+
+
+def charge(gateway: Gateway, tag: int, units: float, now: float) -> None:
+    """The other process of this gateway used `units` of a customer's since it handed on what it knew.
+
+    It has told the customer's home itself; here only this view of the store, and of its use, is lowered.
+    """
+    if (c := gateway.customers.get(tag)) is not None:
+        c.store.level = c.store.fill(now) - units
+        if not c.keepers or c.keepers[0] == gateway.set.me:
+            c.use.add(now, units)
--- a/mapleshunt/net/config.py
+++ b/mapleshunt/net/config.py
@@ -27,6 +27,7 @@
     seed: int
     sockets: int
     memory: int  # bytes
+    accept_fd: int | None  # a socket that listens for clients, inherited
     management: Address | None  # the operators' door
     peer_listen: Address | None
     peers: tuple[Address, ...]
@@ -61,6 +62,12 @@
         raise ConfigError(f"seed must be hex digits, not {value!r}") from None
 
 
+def _descriptor(text: str | None) -> int | None:
+    if text and not (text.isascii() and text.isdigit() and len(text) < 7):
+        raise ConfigError(f"PROXY_ACCEPT_FD must be a descriptor's number, not {text!r}")
+    return int(text) if text else None
+
+
 def parse(text: str, env: Mapping[str, str]) -> Config:
     """The configuration, with the variables that name one of its values taking its place."""
     try:
@@ -85,6 +92,7 @@
             seed=_seed(raw.get("seed") or "0"),
             sockets=int(allowed.get("sockets") or 1024),
             memory=int(float(allowed.get("memory_mb") or 192) * (1 << 20)),
+            accept_fd=_descriptor(env.get("PROXY_ACCEPT_FD")),
             management=address(door, "management") if door else None,
             peer_listen=address(raw["peer_listen"], "peer_listen") if together else None,
             peers=peers,
--- a/mapleshunt/net/driver.py
+++ b/mapleshunt/net/driver.py
@@ -46,6 +46,7 @@
         self.events: deque[i.Event] = deque()
         self.busy = False
         self.seen: Callable[[RequestContext], None] | None = None  # told of requests that are over, if any is
+        self.sent: Callable[[i.Request], None] | None = None  # told of requests' first tries, if any is
         self._carry_out(self.gateway.start())
 
     # Events
@@ -177,6 +178,8 @@
         attempt = route(context, action, self.now())
         self.out[context.ref, attempt.number] = attempt
         self.counters.add("tries_sent")
+        if self.sent is not None and not attempt.number:
+            self.sent(context.request)
         attempt.task = self.loop.create_task(self._try(context, attempt))
 
     async def _try(self, context: RequestContext, attempt: Try) -> None:
--- a/mapleshunt/net/peers.py
+++ b/mapleshunt/net/peers.py
@@ -24,12 +24,23 @@
         everyone: Address,
         heard: Callable[[int, str], None],
         counters: Counters,
+        shared: bool = False,
     ) -> None:
+        """`shared`: another process of this gateway may have the address too. The last to bind it hears;
+        with SO_REUSEPORT, the option not taken, the kernel would deal the senders out among both.
+        Raises OSError if the address cannot be had.
+        """
         self.peers, self.everyone, self.heard, self.counters = peers, everyone, heard, counters
         self.numbers = {peer: number for number, peer in enumerate(peers)}
         self.socket = socket.socket(family_of(listen), socket.SOCK_DGRAM)
         self.socket.setblocking(False)
-        self.socket.bind(listen)
+        if shared:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            self.socket.bind(listen)
+        except OSError:
+            self.socket.close()
+            raise
         IOLoop.current().add_handler(self.socket, self._read, IOLoop.READ)
 
     def tell(self, peer: int, text: str) -> None:
--- /dev/null
+++ b/mapleshunt/net/succession.py
@@ -0,0 +1,116 @@
+"""A second process beside the first: the next version takes over while the one before goes on to its end.
+
+The older process hands on what it knows as soon as it sees a newer one, goes on as before, and tells what it
+uses from then on. SIGTERM tells it to leave: until then the newer one may die, and nothing is lost.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from .. import interface as i
+from ..duty import knowledge
+from ..report import tag_of
+from . import log
+from .counters import Counters
+from .driver import Driver
+from .handover import Handover
+
+WAIT = 0.5  # s that a new process waits for what the one before knows: it answers within 50 ms or is stuck
+LOOK = 0.01  # s between two looks for it
+
+
+class Succession:
+    def __init__(self, folder: Path, name: str, driver: Driver, counters: Counters) -> None:
+        """Raises OSError if the folder cannot be written to."""
+        self.driver, self.counters = driver, counters
+        self.handover = Handover(folder, name)
+        self.to: int | None = None  # the newer process that this one has handed on to
+        self.units: dict[int, float] = {}  # used since, by customer
+        self.written: dict[int, float] = {}  # of these, what was told
+        self.sources: dict[int, dict[int, float]] = {}  # older processes, and what was charged for each
+        self.together = False  # another process of this gateway lives
+
+    # The new process
+
+    async def receive(self) -> None:
+        """Take over what the process before knows, if there is one that answers in time."""
+        end = asyncio.get_running_loop().time() + WAIT
+        while (older := self.handover.before()) and asyncio.get_running_loop().time() < end:
+            if (data := self.handover.handed(older[0])) is not None:
+                return self._take_over(older[0], data)
+            await asyncio.sleep(LOOK)
+        for source in older:  # the newest does not answer; one before it may have
+            if (data := self.handover.handed(source)) is not None:
+                return self._take_over(source, data)
+        if older:
+            log.say("knowledge_missing", source=older[0])
+
+    def _take_over(self, source: int, data: bytes) -> None:
+        self.sources[source] = {}
+        try:
+            known = knowledge.decode(data)
+            knowledge.give(self.driver.gateway, known, self.driver.now())
+        except ValueError as error:  # of another version, or spoilt: it starts as one that was killed does
+            self.counters.add("knowledge_refused")
+            log.say("knowledge_refused", source=source, why=error)
+            return
+        customers, servers = len(known.customers), len(known.servers)
+        age = self.driver.now() - known.at
+        log.say("knowledge_taken", source=source, customers=customers, servers=servers, age=age)
+
+    def ready(self) -> None:
+        """This process takes clients from now on."""
+        self.handover.ready()
+
+    def _charge(self, alive: list[int]) -> None:
+        for source, charged in list(self.sources.items()):
+            ended = source not in alive
+            for tag, units in self.handover.used(source).items():
+                if (more := units - charged.get(tag, 0.0)) > 0:
+                    knowledge.charge(self.driver.gateway, tag, more, self.driver.now())
+                    charged[tag] = units
+            if ended:  # what it told last has been read
+                del self.sources[source]
+
+    # The old process
+
+    def succeeded(self) -> bool:
+        """Does a newer process take the clients by now?"""
+        return any(self.handover.is_ready(one) for one in self.handover.after())
+
+    def _sent(self, request: i.Request) -> None:
+        tag = tag_of(request.customer)
+        if tag in self.units or len(self.units) < knowledge.MOST_CUSTOMERS:
+            self.units[tag] = self.units.get(tag, 0.0) + request.units
+
+    def _hand_on(self, to: int) -> None:
+        data = knowledge.encode(knowledge.taken(self.driver.gateway, self.driver.now()))
+        self.handover.hand_on(to, data)
+        self.to, self.units, self.written = to, {}, {}
+        self.driver.sent = self._sent
+        log.say("handed_on", to=to, bytes=len(data))
+
+    def tend(self, working: bool) -> None:
+        """Look for other processes, hand on and take over. Called many times a second."""
+        try:
+            older, newer = self.handover.before(), self.handover.after()
+            self.together = bool(older or newer)
+            self._charge(older)
+            if newer and newer[0] != self.to and working:
+                self._hand_on(newer[0])
+            elif not newer and self.to is not None:
+                log.say("successor_gone", was=self.to)
+                self.to, self.driver.sent = None, None
+            if self.to is not None and self.units != self.written:
+                self.handover.use(self.to, self.units)
+                self.written = dict(self.units)
+        except OSError as error:  # no room: the two go on as if each were alone
+            self.counters.add("handover_failed")
+            log.say("handover_failed", why=error)
+
+    def close(self) -> None:
+        self.handover.close()
+
+
--- a/mapleshunt/net/upstream.py
+++ b/mapleshunt/net/upstream.py
@@ -233,6 +233,13 @@
 
     # Connections
 
+    def limit(self, most: int) -> None:
+        """Hold no more than `most` connections; idle ones beyond it end now."""
+        self.most = most
+        idle = sorted((c for s in self.servers.values() for c in s.idle), key=lambda one: one.idle_since)
+        for connection in idle[: max(0, len(self.connections) - most)]:
+            connection.close("made_room")
+
     def idle(self, number: int) -> ServerConnection | None:
         """An idle connection to a server, the one used last.
 
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,130 @@
+"""Gateways as processes of their own, for tests: how to start, ask, watch and end them."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+from mapleshunt.net import http, resp
+
+ROOT = Path(__file__).parent.parent
+EXAMPLE = ROOT / "examples" / "config.json"
+PING = resp.command([b"PING"])
+PONG, NOT_READY = resp.SimpleLine("PONG"), resp.ErrorLine("ERR not ready")
+LONG = 60.0  # s that a test waits at most for what must come
+
+
+def run(*args: str, **env: str) -> subprocess.Popen[str]:
+    return subprocess.Popen(
+        [sys.executable, *args], cwd=ROOT, env={**os.environ, **env}, text=True,
+        stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+    )  # fmt: skip
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def replies(client: socket.socket, count: int) -> list[resp.Reply]:
+    data, got, at = bytearray(), list[resp.Reply](), 0
+    while len(got) < count:
+        if not (more := client.recv(65536)):
+            raise ConnectionResetError("it ended")
+        data = data + more  # views of what was read before hold on to it
+        while found := resp.parse_reply(data, at, len(data)):
+            got.append(found[0])
+            at = found[1]
+    return got
+
+
+ONE = b"c=lookup,t=small,d=5000,units=1,spread=1,first=0"
+
+
+def query(number: int, pairs: bytes = ONE, customer: bytes = b"00000000b4d65521") -> bytes:
+    return resp.command([b"SVC.QUERY", customer, b"%016x" % number, pairs])
+
+
+@contextlib.contextmanager
+def toy() -> Iterator[str]:
+    """Discovery and two till servers; yields discovery's address."""
+    process = run("-m", "examples.toy_server", "0")
+    assert process.stdout is not None
+    try:
+        yield process.stdout.readline().split()[-1]
+    finally:
+        process.kill()
+        process.communicate()
+
+
+class Gateway:
+    """A gateway with an operators' door. `shared` is a listening socket that it inherits."""
+
+    def __init__(self, discovery: str, shared: socket.socket | None = None, **env: str) -> None:
+        self.client = shared.getsockname() if shared else ("127.0.0.1", free_port())
+        self.door = ("127.0.0.1", free_port())
+        self.log = tempfile.TemporaryFile("w+")  # noqa: SIM115 - it lives as long as the process
+        names = {
+            "PROXY_CONFIG": str(EXAMPLE), "PROXY_DISCOVERY": discovery,
+            "PROXY_LISTEN": f"127.0.0.1:{self.client[1]}",
+            "PROXY_MANAGEMENT": f"127.0.0.1:{self.door[1]}", **env,
+        }  # fmt: skip
+        if shared is not None:
+            names["PROXY_ACCEPT_FD"] = str(shared.fileno())
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "mapleshunt"], cwd=ROOT, env={**os.environ, **names}, stderr=self.log,
+            pass_fds=[shared.fileno()] if shared is not None else [],
+        )  # fmt: skip
+
+    def call(self, method: str, path: str) -> tuple[int, str]:
+        with socket.create_connection(self.door, timeout=20) as one:
+            one.sendall(f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n".encode())
+            data = bytearray()
+            while got := one.recv(65536):
+                data += got
+        found = http.parse_response(data, 0, len(data))
+        assert found is not None and not found[0].keep
+        return found[0].status, bytes(found[0].body).decode()
+
+    def until(self, status: int) -> None:
+        end = time.monotonic() + LONG
+        while time.monotonic() < end:
+            assert self.process.poll() is None, self.said()
+            with contextlib.suppress(OSError):
+                if self.call("GET", "/_ready")[0] == status:
+                    return
+            time.sleep(0.01)
+        raise AssertionError("not in time")
+
+    def said(self) -> str:
+        self.log.seek(0)
+        return self.log.read()
+
+    def logged(self, event: str) -> str:
+        """The first line of that event, waited for."""
+        end = time.monotonic() + LONG
+        while time.monotonic() < end:
+            for line in self.said().splitlines(keepends=True):
+                if f"event={event} " in line and line.endswith("\n"):
+                    return line
+            time.sleep(0.01)
+        raise AssertionError(f"no {event} in {self.said()}")
+
+    def figures(self) -> dict[str, tuple[str, str]]:
+        status, text = self.call("GET", "/_vars")
+        assert status == 200
+        pairs = [line.partition(":") for line in text.splitlines()]
+        return {name: (value.split("|")[0], value.split("|")[1]) for name, _, value in pairs}
+
+    def kill(self) -> None:
+        self.process.kill()
+        self.process.wait()
+        self.log.close()
--- a/tests/test_daemon_loads.py
+++ b/tests/test_daemon_loads.py
@@ -8,7 +8,7 @@
 import time
 from pathlib import Path
 
-from tests.test_program import EXAMPLE, ROOT, free_port, run
+from tests.processes import EXAMPLE, ROOT, free_port, run
 
 TOOLS = ("click", "joblib", "matplotlib", "msgspec", "numpy", "scipy", "zstandard", "mapleshunt.world",
          "mapleshunt.model", "mapleshunt.rig", "mapleshunt.cli", "mapleshunt.record")  # fmt: skip
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -10,91 +10,27 @@
 import sys
 import time
 from collections.abc import Iterator
-from pathlib import Path
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from mapleshunt.net import door, http, resp
+from mapleshunt.net import door, http
 
-ROOT = Path(__file__).parent.parent
-EXAMPLE = ROOT / "examples" / "config.json"
-READY = resp.command([b"PING"])
-
-
-def run(*args: str, **env: str) -> subprocess.Popen[str]:
-    return subprocess.Popen(
-        [sys.executable, *args], cwd=ROOT, env={**os.environ, **env}, text=True,
-        stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
-    )  # fmt: skip
-
-
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        port: int = probe.getsockname()[1]
-        return port
-
-
-class Gateway:
-    def __init__(self, discovery: str, **env: str) -> None:
-        self.client, self.door = ("127.0.0.1", free_port()), ("127.0.0.1", free_port())
-        self.process = run(
-            "-m", "mapleshunt", PROXY_CONFIG=str(EXAMPLE), PROXY_DISCOVERY=discovery,
-            PROXY_LISTEN=f"127.0.0.1:{self.client[1]}", PROXY_MANAGEMENT=f"127.0.0.1:{self.door[1]}", **env,
-        )  # fmt: skip
-
-    def call(self, method: str, path: str) -> tuple[int, str]:
-        with socket.create_connection(self.door, timeout=20) as one:
-            one.sendall(f"{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n".encode())
-            data = bytearray()
-            while got := one.recv(65536):
-                data += got
-        found = http.parse_response(data, 0, len(data))
-        assert found is not None and not found[0].keep
-        return found[0].status, bytes(found[0].body).decode()
-
-    def until(self, status: int) -> None:
-        end = time.monotonic() + 60
-        while time.monotonic() < end:
-            with contextlib.suppress(OSError):
-                if self.call("GET", "/_ready")[0] == status:
-                    return
-            time.sleep(0.02)
-        raise AssertionError("not in time")
-
-    def figures(self) -> dict[str, tuple[str, str]]:
-        status, text = self.call("GET", "/_vars")
-        assert status == 200
-        pairs = [line.partition(":") for line in text.splitlines()]
-        return {name: (value.split("|")[0], value.split("|")[1]) for name, _, value in pairs}
+from .processes import EXAMPLE, NOT_READY, PING, PONG, ROOT, Gateway, query, replies, toy
 
 
 @pytest.fixture
 def gateway() -> Iterator[Gateway]:
-    toy = run("-m", "examples.toy_server", "0")
-    assert toy.stdout is not None
-    one = Gateway(toy.stdout.readline().split()[-1])
-    one.until(200)
-    yield one
-    for process in (one.process, toy):
-        process.kill()
-        process.communicate()
+    with toy() as discovery:
+        one = Gateway(discovery)
+        one.until(200)
+        yield one
+        one.kill()
 
 
 def ask(to: socket.socket, number: int, cls: bytes = b"lookup") -> None:
-    pairs = b"c=%b,t=small,d=5000,units=1,spread=1,first=0" % cls
-    to.sendall(resp.command([b"SVC.QUERY", b"00000000b4d65521", b"%016x" % number, pairs]))
-
-
-def replies(client: socket.socket, count: int) -> list[resp.Reply]:
-    data, got, at = bytearray(), list[resp.Reply](), 0
-    while len(got) < count:
-        data = data + client.recv(65536)  # views of what was read before hold on to it
-        while found := resp.parse_reply(data, at, len(data)):
-            got.append(found[0])
-            at = found[1]
-    return got
+    to.sendall(query(number, b"c=%b,t=small,d=5000,units=1,spread=1,first=0" % cls))
 
 
 def test_figures_count_every_end_and_every_attempt(gateway: Gateway) -> None:
@@ -193,8 +129,8 @@
         socket.create_connection(gateway.client, timeout=20) as idle,
         socket.create_connection(gateway.client, timeout=20) as asks,
     ):
-        idle.sendall(READY)
-        assert replies(idle, 1) == [resp.SimpleLine("PONG")]
+        idle.sendall(PING)
+        assert replies(idle, 1) == [PONG]
         assert gateway.call("POST", "/_lameduck/on") == (200, "drained\n")
         assert gateway.call("GET", "/_ready")[0] == 503
         number = 0
@@ -208,14 +144,14 @@
                 time.sleep(0.02)
         assert number > 1 and idle.recv(1) == b""
     with socket.create_connection(gateway.client, timeout=20) as front:  # a "no" is heard, and it ends
-        front.sendall(READY)
-        assert replies(front, 1) == [resp.ErrorLine("ERR not ready")]
+        front.sendall(PING)
+        assert replies(front, 1) == [NOT_READY]
         assert front.recv(1) == b""
     assert gateway.call("POST", "/_lameduck/on")[0] == 200 and gateway.process.poll() is None
     assert gateway.call("POST", "/_lameduck/off") == (200, "working\n")
     with socket.create_connection(gateway.client, timeout=20) as front:
-        front.sendall(READY)
-        assert replies(front, 1) == [resp.SimpleLine("PONG")]
+        front.sendall(PING)
+        assert replies(front, 1) == [PONG]
     gateway.process.send_signal(signal.SIGTERM)
     assert gateway.process.wait(timeout=30) == 0
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -40,3 +40,34 @@
             one.close()
 
     asyncio.run(run())
+
+
+def test_of_two_processes_the_last_to_bind_hears_and_the_first_again_once_it_is_gone() -> None:
+    async def run() -> None:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as peer:
+            peer.bind(("127.0.0.1", 0))
+            heard: list[str] = []
+
+            def process(name: str, listen: tuple[str, int]) -> Peers:
+                addresses = [peer.getsockname()]
+                say = lambda *_: heard.append(name)  # noqa: E731
+                return Peers(listen, addresses, addresses[0], say, Counters(), shared=True)
+
+            async def told() -> str:
+                peer.sendto(b"hi", here)
+                while not heard:
+                    await asyncio.sleep(0)
+                return heard.pop()
+
+            first = process("first", ("127.0.0.1", 0))
+            here = first.socket.getsockname()
+            assert await told() == "first"
+            second = process("second", here)
+            assert [await told() for _ in range(9)] == ["second"] * 9
+            first.tell(0, "still")  # it may go on telling by the same address
+            assert peer.recvfrom(99) == (b"still", here)
+            second.close()
+            assert [await told() for _ in range(9)] == ["first"] * 9
+            first.close()
+
+    asyncio.run(run())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -4,11 +4,9 @@
 
 import asyncio
 import json
-import os
 import signal
 import socket
 import subprocess
-import sys
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -18,21 +16,7 @@
 from mapleshunt.__main__ import Program
 from mapleshunt.net import config, resp
 
-ROOT = Path(__file__).parent.parent
-EXAMPLE = ROOT / "examples" / "config.json"
-
-
-def run(*args: str, **env: str) -> subprocess.Popen[str]:
-    return subprocess.Popen(
-        [sys.executable, *args], cwd=ROOT, env={**os.environ, **env}, text=True,
-        stdout=subprocess.PIPE, stderr=subprocess.PIPE,
-    )
-
-
-def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as probe:
-        port: int = probe.getsockname()[1]
-        return port
+from .processes import EXAMPLE, free_port, query, replies, run
 
 
 @pytest.fixture
@@ -56,22 +40,6 @@
         one.communicate()
 
 
-def replies(client: socket.socket, count: int) -> list[resp.Reply]:
-    data, got = bytearray(), list[resp.Reply]()
-    while len(got) < count:
-        data += client.recv(65536)
-        at = 0
-        while found := resp.parse_reply(data, at, len(data)):
-            got.append(found[0])
-            at = found[1]
-        data = data[at:]
-    return got
-
-
-def query(number: int, pairs: bytes = b"c=lookup,t=small,d=5000,units=1,spread=1,first=0") -> bytes:
-    return resp.command([b"SVC.QUERY", b"00000000b4d65521", b"%016x" % number, pairs])
-
-
 def test_serves_rejects_and_leaves_in_good_order(
     gateway: tuple[subprocess.Popen[str], socket.socket],
 ) -> None:
--- /dev/null
+++ b/tests/test_second_process.py
@@ -0,0 +1,284 @@
+"""Two processes of one gateway on one listening socket, with a client throughout, killed at each step."""
+
+from __future__ import annotations
+
+import contextlib
+import signal
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mapleshunt import Gateway as Decisions
+from mapleshunt import Members, ServerEntry, Settings
+from mapleshunt.duty import knowledge
+from mapleshunt.net.handover import Handover
+from mapleshunt.report import tag_of
+
+from .conftest import CLASSES, PLANS
+from .processes import Gateway, query, replies, toy
+
+SMALL = b"c=lookup,t=small,d=5000,units=0.01,spread=1,first=0"
+
+
+class Client(threading.Thread):
+    """Asks one request after another; what a closed connection left unheard it asks once more."""
+
+    def __init__(self, where: tuple[str, int]) -> None:
+        super().__init__(daemon=True)
+        self.where, self.over = where, threading.Event()
+        self.answered, self.unheard, self.lost = 0, 0, list[int]()
+
+    def run(self) -> None:
+        number, client = 1 << 20, socket.create_connection(self.where, timeout=20)
+        while not self.over.wait(0.002):
+            number += 1
+            for attempt in range(2):
+                try:
+                    client.sendall(query(number, SMALL, b"00000000000000c1"))
+                    replies(client, 1)
+                    self.answered += 1
+                    break
+                except OSError:
+                    self.unheard += 1
+                    if attempt:
+                        self.lost.append(number)
+                    with contextlib.suppress(OSError):
+                        client.close()
+                        client = socket.create_connection(self.where, timeout=20)
+        client.close()
+
+    def end(self) -> None:
+        self.over.set()
+        self.join(60)
+        assert not self.is_alive()
+
+    def goes_on(self, more: int = 20) -> None:
+        """Wait until so many more requests are answered."""
+        target, end = self.answered + more, time.monotonic() + 60
+        while self.answered < target:
+            assert time.monotonic() < end, "nobody answers"
+            time.sleep(0.01)
+
+
+class Place:
+    """The platform's side: the socket, the folder that processes share, and who was started."""
+
+    def __init__(self, folder: Path, discovery: str) -> None:
+        self.folder, self.discovery = folder, discovery
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.started: list[Gateway] = []
+
+    def start(self) -> Gateway:
+        self.started.append(Gateway(self.discovery, self.socket, TMPDIR=str(self.folder)))
+        return self.started[-1]
+
+    def start_ready(self) -> Gateway:
+        one = self.start()
+        one.until(200)
+        return one
+
+
+@pytest.fixture
+def place(tmp_path: Path) -> Iterator[Place]:
+    with toy() as discovery:
+        one = Place(tmp_path, discovery)
+        yield one
+        for gateway in one.started:
+            gateway.kill()
+        one.socket.close()
+
+
+def term(gateway: Gateway) -> None:
+    gateway.process.send_signal(signal.SIGTERM)
+    assert gateway.process.wait(timeout=30) == 0, gateway.said()
+
+
+def spend(place: Place) -> list[bool]:
+    """Ask eight requests of a customer whose store holds five units: which were served?"""
+    with socket.create_connection(place.socket.getsockname(), timeout=20) as client:
+        client.sendall(b"".join(query(time.monotonic_ns() % (1 << 40) + n) for n in range(8)))
+        return [isinstance(one, memoryview) for one in replies(client, 8)]
+
+
+def test_upgrade_under_load_loses_nothing_and_refills_nothing(place: Place) -> None:
+    old = place.start_ready()
+    client = Client(place.socket.getsockname())
+    client.start()
+    client.goes_on()
+    assert 5 <= sum(spend(place)) < 8
+    new = place.start_ready()
+    assert "customers=" in new.logged("knowledge_taken") and old.process.poll() is None
+    term(old)
+    assert "succeeded=True" in old.said()
+    # One unit comes in each second: a store that began anew would serve five at once.
+    assert sum(spend(place)) < 5
+    client.goes_on()
+    client.end()
+    assert not client.lost and client.unheard <= 2
+    assert [file.name for file in place.folder.iterdir()] == [f"{name_of(new)}.gateway.2"]
+
+
+def name_of(gateway: Gateway) -> str:
+    return gateway.logged("started").split(" name=")[1].split()[0]
+
+
+def test_two_upgrades_in_a_row(place: Place) -> None:
+    client = Client(place.socket.getsockname())
+    first = place.start_ready()
+    client.start()
+    second = place.start_ready()
+    first.process.send_signal(signal.SIGTERM)
+    third = place.start_ready()
+    assert "source=2" in third.logged("knowledge_taken")
+    term(second)
+    assert first.process.wait(timeout=30) == 0
+    client.goes_on()
+    client.end()
+    assert not client.lost and third.process.poll() is None
+
+
+STEPS = "begun", "handed_on", "started", "ready"
+
+
+@pytest.mark.parametrize("victim", ["old", "new"])
+@pytest.mark.parametrize("step", STEPS)
+def test_either_may_die_at_any_step(place: Place, step: str, victim: str) -> None:
+    old = place.start_ready()
+    client = Client(place.socket.getsockname())
+    client.start()
+    client.goes_on()
+    if step == "begun":  # the new one stands at the hand-over, which the old one does not come to
+        old.process.send_signal(signal.SIGSTOP)
+    new = place.start()
+    match step:
+        case "begun":
+            while not any(file.name.endswith(".gateway.2") for file in place.folder.iterdir()):
+                time.sleep(0.001)
+        case "handed_on":
+            old.logged("handed_on")
+        case "started":
+            new.logged("started")
+        case "ready":
+            new.until(200)
+    dead, left = (old, new) if victim == "old" else (new, old)
+    dead.process.kill()
+    dead.process.wait()
+    left.process.send_signal(signal.SIGCONT)
+    left.until(200)
+    client.goes_on()
+    if victim == "new":
+        if step != "begun":
+            assert left.logged("successor_gone")
+        third = place.start_ready()  # and the next version can still come
+        assert third.logged("knowledge_taken")
+        term(old)
+        client.goes_on()
+    client.end()
+    assert len(client.lost) <= 1  # what the killed one held
+
+
+def test_an_old_process_that_does_not_answer_holds_nothing_up(place: Place) -> None:
+    old = place.start_ready()
+    old.process.send_signal(signal.SIGSTOP)
+    new = place.start_ready()
+    assert "source=1" in new.logged("knowledge_missing")
+    old.process.send_signal(signal.SIGCONT)
+    term(old)
+
+
+@pytest.mark.parametrize("data", [b"", b'{"version":1,"at":1', b'{"version":999}', b"\xff" * 99, b"[]"])
+def test_what_cannot_be_read_is_refused_and_the_start_goes_on(place: Place, data: bytes) -> None:
+    name = "n0"
+    older = Handover(place.folder, name)  # stands for a process of another version
+    done = threading.Event()
+
+    def answer() -> None:
+        while not done.is_set():
+            for one in older.after():
+                older.hand_on(one, data)
+                return
+            time.sleep(0.001)
+
+    helper = threading.Thread(target=answer, daemon=True)
+    helper.start()
+    new = Gateway(place.discovery, place.socket, TMPDIR=str(place.folder), PROXY_NAME=name)
+    place.started.append(new)
+    new.until(200)
+    done.set()
+    assert "source=1" in new.logged("knowledge_refused")
+    older.close()
+
+
+def test_a_descriptor_that_does_not_listen_is_one_line_and_exit_2(tmp_path: Path) -> None:
+    with socket.socket() as odd:
+        odd.bind(("127.0.0.1", 0))
+        one = Gateway("127.0.0.1:1", odd, TMPDIR=str(tmp_path))
+        assert one.process.wait(timeout=60) == 2
+        assert one.said().startswith("mapleshunt: cannot start: ") and one.said().count("\n") == 1
+        one.kill()
+
+
+# Without processes
+
+
+def decisions(now: float) -> Decisions:
+    gateway = Decisions(Settings(me=0, instances=1, classes=CLASSES, plans=PLANS), 1, now)
+    gateway.handle(now, Members("complete", tuple(ServerEntry(n) for n in range(4))))
+    return gateway
+
+
+def test_knowledge_comes_back_as_it_was_and_time_has_passed() -> None:
+    one = decisions(1000.0)
+    customer = one.record(tag_of("c"), one.plans.index("thin"))
+    customer.store.level, customer.store.at = 1.5, 1000.0
+    one.servers[2].barred, one.servers[2].fails, one.servers[3].pace = 1700.0, 2, 0.7
+    other = decisions(1200.0)
+    knowledge.give(other, knowledge.decode(knowledge.encode(knowledge.taken(one, 1000.0))), 1200.0)
+    same = other.customers[tag_of("c")]
+    assert same.store.fill(1200.0) == pytest.approx(1.7)  # one unit a second
+    knowledge.charge(other, tag_of("c"), 1.0, 1200.0)
+    assert same.store.fill(1200.0) == pytest.approx(0.7)
+    assert (other.servers[2].barred, other.servers[2].fails, other.servers[3].pace) == (1900.0, 2, 0.7)
+
+
+@pytest.mark.parametrize(("late", "said"), [(20_000.0, "ago"), (-20_000.0, "ago")])
+def test_knowledge_from_another_time_is_refused(late: float, said: str) -> None:
+    known = knowledge.taken(decisions(1000.0), 1000.0)
+    with pytest.raises(ValueError, match=said):
+        knowledge.give(decisions(50_000.0), known, 1000.0 + late)
+
+
+@given(st.binary(max_size=300), st.integers(0, 400))
+def test_no_bytes_are_more_than_a_value_error(noise: bytes, cut: int) -> None:
+    whole = knowledge.encode(knowledge.taken(decisions(1000.0), 1000.0))
+    for data in (noise, whole[:cut], whole[:cut] + noise):
+        with contextlib.suppress(ValueError):
+            knowledge.give(decisions(1000.0), knowledge.decode(data), 1000.0)
+
+
+def test_processes_find_each_other_and_clear_up(tmp_path: Path) -> None:
+    first = Handover(tmp_path, "a/b")
+    second = Handover(tmp_path, "a/b")
+    other = Handover(tmp_path, "c")
+    assert (first.before(), first.after(), second.before(), other.after()) == ([], [2], [1], [])
+    first.hand_on(2, b"known")
+    first.use(2, {7: 1.5})
+    assert second.handed(1) == b"known" and second.handed(1) is None and second.used(1) == {7: 1.5}
+    assert not first.is_ready(2)
+    second.ready()
+    assert first.is_ready(2)
+    first.close()
+    assert second.before() == []
+    third = Handover(tmp_path, "a/b")
+    assert third.number == 3 and third.before() == [2]
+    for one in (second, third, other):
+        one.close()
+    fourth = Handover(tmp_path, "a/b")
+    assert fourth.number == 1 and [one.name for one in tmp_path.iterdir()] == ["a_b.gateway.1"]
+    fourth.close()
