Lease what a gateway's clients may use from the copies, and bound the decisions by it

Need: quotas rested on messages alone; a gateway of an installation with copies now leases units and spends no others.

Seen and mended, each with a test that fails without it: (1) three gateways served 19 of 5 + 4.5 units: between a denial's end and the next answer, and between two leases, the own store decided; excluded: leases granted twice (each number once, sums within the store). Lease 0, in force for a term from each answer, closes the gap (holdings/leases.py). (2) with a leader killed 28 of 13: the own store had filled up behind leases; it goes on from the last answer now (state.py, Customer.lease). (3) schedule disk_full: "nobody leads after 20 s": TimeoutNow waited for writes that never ended (copies/node.py, _may_hand_over); it rests on none.

--- /dev/null
+++ b/benchmarks/copies_cost.py
@@ -0,0 +1,111 @@
+"""What copies cost and how soon they are whole again, on real processes on this machine.
+
+    python -m benchmarks.copies_cost
+
+Durable operations a second of one group on three gateways, beside the store's bare durable batches in the
+same run, alternating; and the time from a machine's loss with its disk until its place is taken, by size.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import statistics
+import tempfile
+import time
+from pathlib import Path
+
+from mapleshunt.copies import messages as m
+from mapleshunt.holdings import words as w
+from mapleshunt.rig.callers import Caller
+from mapleshunt.rig.faults import FLEET, Faults, plain_config
+from mapleshunt.store.disk import Disk
+
+AT_ONCE = 64  # sessions
+SECONDS = 4.0
+ROUNDS = 3
+
+
+def bare(folder: Path) -> float:
+    """Durable batches of one entry a second."""
+    disk = Disk(folder, "bare", "a")
+    disk.create(0, m.Snapshot(0, 0, 0.0, m.Members(("a/1",)), b""))
+    begun, count = time.perf_counter(), 0
+    while time.perf_counter() - begun < SECONDS / 2:
+        count += 1
+        disk.commit([(0, m.Write(count, 1, "a/1", (m.Entry(count, 1, 0.0, b"x" * 100),)))])
+    rate = count / (time.perf_counter() - begun)
+    disk.close()
+    return rate
+
+
+class Cost(Faults):
+    def caller(self, number: int) -> Caller:
+        ports = [one.port for one in self.machines.values()]
+        chance = random.Random(number)
+        return Caller(f"s{number}", ports, list(self.machines), FLEET, 0, self.history, self.now, chance)
+
+    async def count(self, caller: Caller, until: float, prefix: str) -> list[float]:
+        took: list[float] = []
+        await caller.do(w.Open())
+        while time.perf_counter() < until:
+            begun = time.perf_counter()
+            await caller.do(w.Count(f"{prefix}{caller.number}-{caller.name}", 1.0))
+            took.append(time.perf_counter() - begun)
+        return took
+
+
+async def rates(folder: Path) -> None:
+    for turn in range(ROUNDS):
+        raw = bare(folder / f"bare{turn}")
+        played = Cost(folder / f"fleet{turn}", plain_config(), 3, 1, 3)
+        try:
+            await played.up()
+            end = time.perf_counter() + SECONDS
+            some = [played.caller(number) for number in range(AT_ONCE)]
+            parts = await asyncio.gather(*(played.count(one, end, "c") for one in some))
+            took = [one for part in parts for one in part]
+            alone = await played.count(played.caller(999), time.perf_counter() + SECONDS / 2, "a")
+        finally:
+            await played.down()
+        rate = len(took) / SECONDS
+        median, single = 1000 * statistics.median(took), 1000 * statistics.median(alone)
+        print(f"round {turn}: bare batches {raw:.0f}/s; operations {rate:.0f}/s ({rate / raw:.2f} of bare)")
+        print(f"  {AT_ONCE} sessions, median {median:.1f} ms; one alone {single:.1f} ms", flush=True)
+
+
+async def recovery(folder: Path) -> None:
+    for customers in (100, 2000, 10_000):
+        played = Cost(folder / f"size{customers}", plain_config(), 4, 1, 3)
+        try:
+            await played.up()
+            some = [played.caller(number) for number in range(AT_ONCE)]
+
+            async def fill(caller: Caller, count: int) -> None:
+                await caller.do(w.Open())
+                for _ in range(count):
+                    await caller.do(w.Count(f"{caller.name}-{caller.number}", 1.0))
+
+            await asyncio.gather(*(fill(one, customers // AT_ONCE + 1) for one in some))
+            leader = await played.leader()
+            (status,) = (await played.statuses())[leader.name]["groups"]
+            voters = {m.gateway_of(one) for one in status["voters"]}
+            other = next(one for name, one in played.machines.items() if one is not leader and name in voters)
+            begun = time.perf_counter()
+            other.wipe()
+            other.start()
+            await played.whole(60.0)
+            took = time.perf_counter() - begun
+            print(f"{customers} customers: whole again {took:.2f} s after a disk was lost", flush=True)
+        finally:
+            await played.down()
+
+
+def main() -> None:
+    with tempfile.TemporaryDirectory(dir="/var/tmp") as text:
+        asyncio.run(rates(Path(text)))
+        asyncio.run(recovery(Path(text)))
+
+
+if __name__ == "__main__":
+    main()
--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -32,6 +32,7 @@
 if TYPE_CHECKING:
     from .net.copies import Copies
     from .net.door import Door, Reply
+    from .net.leases import Leases
     from .net.succession import Succession
     from .record.writer import Recorder
 
@@ -61,6 +62,7 @@
         self.service = client.Service(self.driver, self.counters, config.seed, config.max_open)
         self.service.ready = self.ready
         self.chance = random.Random(config.seed)
+        self.tending = PeriodicCallback(self.tend, TEND_EVERY)  # runs only while there is something to tend
         self.watching: asyncio.Task[None] | None = None
         self.revision: int | None = None  # of the list known
         self.peers: Peers | None = None
@@ -75,6 +77,7 @@
         self.door: Door | None = None
         self.succession: Succession | None = None
         self.copies: Copies | None = None
+        self.leases: Leases | None = None
         self.last_try_to_hear = -math.inf
 
     def share(self, processes: int) -> None:
@@ -212,6 +215,7 @@
         self.life.listening(self.time())
         if self.succession is not None:
             self.succession.ready()
+            self.tending.start()
         if self.door is not None:
             self.door.open()
         listen = text_of(self.config.listen)
@@ -238,6 +242,10 @@
         if changed:
             log.say(event, open=len(self.driver.open), client_connections=len(self.service.connections))
         self.tend()
+        if self.succession is None and self.life.takes():
+            self.tending.stop()
+        elif not self.tending.is_running():
+            self.tending.start()
 
     def tend(self) -> None:
         """Do what the gateway's state asks for."""
@@ -284,8 +292,11 @@
                 log.say("recording", path=path, bytes=size)
             if chosen.copies is not None:
                 from .net.copies import Copies
+                from .net.leases import Leases
 
                 self.copies = Copies(chosen.copies, self.config.name, self.counters, self.config.seed)
+                if chosen.copies.lease:
+                    self.leases = Leases(self.copies, self.driver, self.counters)
         except (ValueError, OSError) as error:
             raise ConfigError(str(error)) from None
         except ModuleNotFoundError as error:
@@ -329,13 +340,14 @@
         sweeps = [
             PeriodicCallback(self.group.sweep, 1000),
             PeriodicCallback(self.sweep_clients, 100),
-            PeriodicCallback(self.tend, TEND_EVERY),
             PeriodicCallback(self.print_counters, COUNTERS_EVERY),
         ]
         for sweep in sweeps:
             sweep.start()
         if self.copies is not None:
             self.copies.start()
+        if self.leases is not None:
+            self.leases.start()
         self.watch(self.config.discovery)
         # Only now: what comes in while a start uses up the processor stands unread in the kernel's queue for
         # as long, and its patience would be counted from when it was read.
@@ -350,11 +362,13 @@
             self.watching.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self.watching
-        for sweep in sweeps:
+        for sweep in [*sweeps, self.tending]:
             sweep.stop()
         self.group.close()
         if self.peers is not None:
             self.peers.close()
+        if self.leases is not None:
+            self.leases.close()
         if self.copies is not None:
             self.copies.close()
         if self.recorder is not None:
@@ -376,6 +390,8 @@
         for listener in self.listeners:
             listener.close()
         self.tend()
+        if not self.tending.is_running():
+            self.tending.start()
         longest = max((cls.deadline for cls in self.config.settings.classes.values()), default=0.0)
         try:
             async with asyncio.timeout(longest / 1000 + LATE):
--- a/mapleshunt/control.py
+++ b/mapleshunt/control.py
@@ -76,6 +76,8 @@
                 self.discover(event)
             case i.ClientGone(ref) if ref in self.jobs:
                 self.close(self.jobs[ref])
+            case i.Leased(name, plan, number, units, until):
+                self.record(tag_of(name), self.plans.index(plan)).lease(number, units, until, now)
             case i.Begun(ref) if ref in self.jobs:
                 self.jobs[ref].streaming = True
         self.look()
@@ -179,10 +181,11 @@
         c, plan, units = job.customer, job.customer.plan, job.units
         while job.asks < len(c.keepers) and self.silent(c.keepers[job.asks]):
             job.asks += 1
-        asks = job.asks
-        alone = not self.set.peers or asks == len(c.keepers) or c.keepers[asks] == self.set.me
+        asks, leased = job.asks, c.leased(self.now)
+        alone = leased is not None or not self.set.peers or c.keepers[asks:][:1] in ((), (self.set.me,))
         view, ceiling = c.store.fill(self.now), c.ceiling.fill(self.now) if plan.ceiling_rate else math.inf
-        if alone and c.keepers[0] != self.set.me and not self.likely(c):
+        view = leased if leased is not None else view
+        if alone and leased is None and c.keepers[0] != self.set.me and not self.likely(c):
             view = min(view, c.slice.fill(self.now))  # the store never holds more than a view: a lack is sure
         lack = max(units - view if plan.rate else 0.0, units - ceiling if alone else 0.0)
         thin = self.thinned(c)
@@ -241,6 +244,8 @@
         c.active = True
 
     def charge(self, c: Customer, units: float) -> None:  # take units (below 0: give back) and tell its home
+        if c.spend(self.now, units):
+            return
         c.store.level = c.store.fill(self.now) - units
         if not c.keepers or c.keepers[0] == self.set.me:
             c.use.add(self.now, units)
@@ -251,12 +256,6 @@
             if units:
                 self.tell(c.keepers[0], Line(kind, c.tag, 0, units, c.store.level / c.store.burst, c.code))
 
-    def tell(self, peer: int, *lines: Line) -> None:  # at once, or with what comes up in the gap
-        if lines and peer not in self.mail:
-            self.remind(max(self.now, self.spoke.get(peer, 0.0) + self.gap), "mail", peer)
-        if lines:
-            self.mail.setdefault(peer, []).extend(lines)
-
     def listen(self, event: i.PeerMessage) -> None:
         if (report := decode(event.data)) is None or not 0 <= event.sender < self.set.instances:
             return
--- a/mapleshunt/copies/node.py
+++ b/mapleshunt/copies/node.py
@@ -611,7 +611,8 @@
     def _may_hand_over(self, now: float) -> None:
         to = self.transferring
         if to in self.progress and self.progress[to].match == self.last_index():
-            self._say(to, TimeoutNow(self.term))
+            # It rests on no write: a leader whose disk is full hands over just because none comes to its end.
+            self.out.append(Send(to, TimeoutNow(self.term)))
 
     def _snapped(self, index: int, data: bytes) -> None:
         self.wanted = False
--- a/mapleshunt/interface.py
+++ b/mapleshunt/interface.py
@@ -187,7 +187,18 @@
     data: str
 
 
-Event = Members | Request | Begun | Outcome | ClientGone | Timer | PeerMessage
+@dataclass(slots=True, frozen=True)
+class Leased:
+    """Units of a customer's that may be used here until then, and no others meanwhile (0: none may)."""
+
+    customer: str
+    plan: str
+    lease: int
+    units: float
+    until: float
+
+
+Event = Members | Request | Begun | Outcome | ClientGone | Timer | PeerMessage | Leased
 
 
 # Actions
--- a/mapleshunt/net/copies.py
+++ b/mapleshunt/net/copies.py
@@ -32,6 +32,17 @@
 MOST_CALLS = 4096  # of clients, not yet answered
 
 
+class Here:
+    """Stands for a connection where this gateway calls itself."""
+
+    def __init__(self, replied: Callable[[wire.Reply], None]) -> None:
+        self.replied = replied
+
+    def write(self, frame: wire.Frame) -> None:
+        if isinstance(frame, wire.Reply):
+            asyncio.get_running_loop().call_soon(self.replied, frame)
+
+
 class GroupHost:
     """One group's copy on this gateway."""
 
@@ -43,7 +54,7 @@
         self.node = Node(copies.me, stored, copies.timing, copies.chance.getrandbits(32), now)
         self.timer: asyncio.TimerHandle | None = None
         self.due = float("inf")
-        self.calls: dict[int, tuple[Link, wire.Call]] = {}
+        self.calls: dict[int, tuple[Link | Here, wire.Call]] = {}
         self.begun = False  # it takes part; before that it neither hears nor says anything
         self.applied = 0
 
@@ -130,7 +141,7 @@
             link, asked = known
             link.write(wire.Reply(asked.number, how, hint, data))
 
-    def called(self, link: Link, call: wire.Call) -> None:
+    def called(self, link: Link | Here, call: wire.Call) -> None:
         number = self.copies.number()
         self.calls[number] = (link, call)
         if call.command:
@@ -188,6 +199,9 @@
         self.numbers = 0
         self.gone: dict[str, float] = {}  # since when a gateway is not here
         self.ended = self.renewing = False
+        self.here = Here(self._replied)
+        self.links.replied = self._replied
+        self.waiting: dict[int, Callable[[wire.Reply], None]] = {}  # this gateway's own calls
 
     @property
     def me(self) -> m.Copy:
@@ -314,7 +328,7 @@
         else:
             host.step(m.Heard(f"{hello.name}/{hello.incarnation}", message))
 
-    def _called(self, link: Link, frame: wire.Call | wire.Ask) -> None:
+    def _called(self, link: Link | Here, frame: wire.Call | wire.Ask) -> None:
         if isinstance(frame, wire.Ask):
             link.write(wire.Reply(frame.number, *self._asked(frame)))
             return
@@ -327,6 +341,32 @@
         else:
             host.called(link, frame)
 
+    # This gateway's own calls
+
+    def call(self, group: int, command: bytes, to: str, done: Callable[[wire.Reply], None]) -> int:
+        """Through that gateway; `done` is told of its reply, if one comes. The number, to stop waiting."""
+        number = self.number()
+        self.waiting[number] = done
+        frame = wire.Call(number, group, command)
+        if to == self.name:
+            self._called(self.here, frame)
+        elif to in self.links.links:
+            self.links.links[to].write(frame)
+        return number
+
+    def _replied(self, reply: wire.Reply) -> None:
+        if (done := self.waiting.pop(reply.number, None)) is not None:
+            done(reply)
+
+    def leads(self, group: int) -> str:
+        """Who is thought to lead the group: by the own copy, else any that holds it and is here."""
+        host = self.hosts.get(group)
+        if host is not None and host.node.leader:
+            return m.gateway_of(host.node.leader)
+        holders = place(group, self.zones, self.section.size)
+        here = [one for one in holders if one == self.name or self.links.here(one)]
+        return self.chance.choice(here) if here else self.name
+
     def _asked(self, ask: wire.Ask) -> tuple[str, str, bytes]:
         if ask.what == "status":
             return "done", "", msgspec.msgpack.encode(self.status())
--- a/mapleshunt/net/driver.py
+++ b/mapleshunt/net/driver.py
@@ -47,6 +47,7 @@
         self.busy = False
         self.seen: Callable[[RequestContext], None] | None = None  # told of requests that are over, if any is
         self.sent: Callable[[i.Request], None] | None = None  # told of requests' first tries, if any is
+        self.asked: Callable[[i.Request], None] | None = None  # told of requests before the decisions are
         self._carry_out(self.gateway.start())
 
     # Events
@@ -55,6 +56,8 @@
         self.open[context.ref] = context
         left = context.due - GUARD - self.now()
         context.guard = self.loop.call_later(left / 1000, self._guard, context)
+        if self.asked is not None:
+            self.asked(context.request)
         self.feed(context.request)
 
     def gone(self, context: RequestContext) -> None:
--- /dev/null
+++ b/mapleshunt/net/leases.py
@@ -0,0 +1,192 @@
+"""Leases for this gateway's decisions, drawn from the copies: sessions that call until they are answered."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+import msgspec
+from tornado.ioloop import PeriodicCallback
+
+from .. import interface as i
+from ..copies import wire
+from ..copies.placement import group_of
+from ..holdings import words as w
+from ..holdings.leases import Action, Ask, Leaser, Use
+from ..report import tag_of
+from . import log
+from .copies import Copies
+from .counters import Counters
+from .driver import Driver
+
+TERM = 2000.0  # ms of a lease
+EVERY = 50  # ms between two looks at what is due
+AGAIN = 0.25  # s after which a call is made again, through whoever leads then
+PATIENCE = {w.Lease: 1.0, w.Return: 1.0, w.Settle: 30.0}  # terms after which nobody waits for an answer
+MOST_OPEN = 32  # operations of a session that wait; more than that are not begun
+RESULT: msgspec.msgpack.Decoder[w.Result] = msgspec.msgpack.Decoder(w.Result)
+
+
+@dataclass(slots=True)
+class Open:
+    """An operation that is not answered yet."""
+
+    command: bytes
+    ask: Ask | None
+    until: float  # s
+    next: float  # s, when it is sent again
+    call: int = 0
+
+
+class Session:
+    """This gateway's operations at one group, each by a number of its own."""
+
+    def __init__(self, leases: Leases, group: int) -> None:
+        self.leases, self.group = leases, group
+        copies = leases.copies
+        self.name = f"{copies.name}/{copies.disk.incarnation}.{copies.disk.boot}"
+        self.number, self.open, self.hint = 0, dict[int, Open](), ""
+        self.begun = False
+        self._propose(w.Open(), None, 1e9)
+
+    def do(self, ask: Ask) -> None:
+        if len(self.open) >= MOST_OPEN:
+            self.leases.counters.add("leases_crowded")
+            self.leases.come(ask, None)
+        else:
+            self._propose(ask.operation, ask, PATIENCE.get(type(ask.operation), 1.0) * TERM / 1000)
+
+    def _propose(self, operation: w.Operation, ask: Ask | None, patience: float) -> None:
+        self.number += 1
+        low = min(self.open, default=self.number)
+        now = asyncio.get_running_loop().time()
+        data = w.ENCODE(w.Command(self.name, self.number, low, operation))
+        self.open[self.number] = Open(data, ask, now + patience, now)
+        if self.begun or ask is None:
+            self._send(self.number)
+
+    def _send(self, number: int) -> None:
+        one, copies = self.open[number], self.leases.copies
+        copies.waiting.pop(one.call, None)
+        one.next = asyncio.get_running_loop().time() + AGAIN
+        to = self.hint or copies.leads(self.group)
+        self.hint = ""
+        one.call = copies.call(self.group, one.command, to, lambda reply: self._replied(number, reply))
+
+    def _replied(self, number: int, reply: wire.Reply) -> None:
+        one = self.open.get(number)
+        if one is None:
+            return
+        if reply.how != "done":
+            self.hint = reply.hint
+            one.next = min(one.next, asyncio.get_running_loop().time() + EVERY / 1000)
+            return
+        del self.open[number]
+        result = RESULT.decode(reply.data)
+        if one.ask is None:
+            self.begun = True
+        elif isinstance(result, w.Denied) and result.why == "session":
+            self.leases.forget(self.group)
+            self.leases.come(one.ask, None)
+        else:
+            self.leases.come(one.ask, result)
+
+    def tend(self, now: float) -> None:
+        for number, one in list(self.open.items()):
+            if now >= one.until and one.ask is not None:
+                del self.open[number]
+                self.leases.copies.waiting.pop(one.call, None)
+                self.leases.counters.add("leases_unanswered")
+                self.leases.come(one.ask, None)
+            elif now >= one.next and (self.begun or one.ask is None):
+                self._send(number)
+
+
+class Leases:
+    def __init__(self, copies: Copies, driver: Driver, counters: Counters) -> None:
+        self.copies, self.driver, self.counters = copies, driver, counters
+        settings = driver.settings
+        self.leaser = Leaser(TERM, settings.largest, self._left, self._level, self._owed)
+        self.plans: dict[str, str] = {}  # of customers that are leased for
+        self.sessions: dict[int, Session] = {}
+        self.sound = True  # some group answers
+        driver.asked = self._asked
+        self.tick = PeriodicCallback(self._tick, EVERY)
+
+    def start(self) -> None:
+        self.tick.start()
+
+    def close(self) -> None:
+        self.tick.stop()
+
+    # What the decisions hold
+
+    def _left(self, customer: str, lease: int) -> float:
+        one = self.driver.gateway.customers.get(tag_of(customer))
+        return one.leases.pop(lease, (0.0, 0.0))[0] if one is not None else 0.0
+
+    def _level(self, customer: str, at: float) -> float:
+        one = self.driver.gateway.customers.get(tag_of(customer))
+        return (one.leased(at) or 0.0) if one is not None else 0.0
+
+    def _owed(self, customer: str) -> float:
+        one = self.driver.gateway.customers.get(tag_of(customer))
+        if one is None:
+            return 0.0
+        owed, one.owed = one.owed, 0.0
+        return owed
+
+    # Requests, answers, time
+
+    def _asked(self, request: i.Request) -> None:
+        plan = self.driver.settings.plans[request.plan]
+        if plan.rate and (len(self.plans) < 100_000 or request.customer in self.plans):
+            self.plans[request.customer] = request.plan
+            now, burst = self.driver.now(), plan.burst
+            actions = self.leaser.demand(
+                now, request.customer, plan.rate, burst, request.spread, request.units
+            )
+            self._do(actions)
+
+    def come(self, ask: Ask, result: w.Result | None) -> None:
+        self._say_if_changed(result is not None)
+        self.counters.add("leases_denied", int(isinstance(result, w.Denied)))
+        self._do(self.leaser.answered(self.driver.now(), ask, result))
+
+    def _say_if_changed(self, sound: bool) -> None:
+        if sound != self.sound:
+            self.sound = sound
+            log.say("leases_sound" if sound else "leases_alone", customers=len(self.plans))
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Use):
+                plan = self.plans.get(action.customer)
+                if plan is not None:
+                    self.counters.add("leases_had", int(action.lease > 0))
+                    self.driver.feed(
+                        i.Leased(action.customer, plan, action.lease, action.units, action.until)
+                    )
+            else:
+                group = group_of(action.customer, self.copies.section.groups)
+                if group not in self.sessions:
+                    self.sessions[group] = Session(self, group)
+                self.sessions[group].do(action)
+
+    def forget(self, group: int) -> None:
+        """The group forgot the session: what was answered is known, the rest is not; begin another."""
+        self.sessions.pop(group, None)
+
+    def _tick(self) -> None:
+        try:
+            self._do(self.leaser.tick(self.driver.now()))
+            for customer in [one for one in self.plans if one not in self.leaser.customers]:
+                del self.plans[customer]
+            now = asyncio.get_running_loop().time()
+            for session in list(self.sessions.values()):
+                session.tend(now)
+        except Exception:
+            self.counters.add("exceptions")
+            log.trouble("leases_exception")
+
+
--- a/mapleshunt/net/links.py
+++ b/mapleshunt/net/links.py
@@ -82,6 +82,8 @@
                 self.links.heard(self.hello, group, message)
         elif isinstance(frame, wire.Call | wire.Ask):
             self.links.called(self, frame)
+        elif isinstance(frame, wire.Reply):
+            self.links.replied(frame)
         else:
             raise wire.Strange("a frame out of place")
 
@@ -131,6 +133,7 @@
         self.strangers: dict[Link, None] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.flushing = False
+        self.replied: Callable[[wire.Reply], None] = lambda reply: None  # to this gateway's own calls
         self.listener = socket.socket(family_of(listen))
         self.listener.setblocking(False)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/mapleshunt/settings/operators.py
+++ b/mapleshunt/settings/operators.py
@@ -40,6 +40,7 @@
     peer: tuple[CopiesPeer, ...] = ()  # all gateways of the fleet, this one too
     groups: Annotated[int, Meta(ge=1, le=64)] = 8
     size: int = 3  # copies of a group
+    lease: bool = True  # the gateway's quotas are leased from the copies
     election_ms: Annotated[float, Meta(ge=50, le=60_000)] = 1000.0
     replace_after_s: Annotated[float, Meta(ge=1)] = 600.0  # a machine gone for so long is replaced
 
--- a/mapleshunt/state.py
+++ b/mapleshunt/state.py
@@ -64,6 +64,31 @@
     s: float = 0.0  # excess account (Figure 8)
     active: bool = False
     queue: deque[Job] = field(default_factory=deque)
+    leases: dict[int, tuple[float, float]] = field(default_factory=dict)  # units left and end, by number
+    owed: float = 0.0  # units used while none was in force
+
+    def lease(self, number: int, units: float, until: float, now: float) -> None:
+        """Number 0 has no units and tells that the copies answer. If they fall silent, the own store goes on
+        from there: it did not fill up meanwhile.
+        """
+        self.leases[number] = (units, until)
+        if not number:
+            self.store.level = min(self.store.fill(now), 0.0)
+
+    def leased(self, now: float) -> float | None:
+        """Units that the leases in force let it use; None if none is."""
+        live = [units for units, until in self.leases.values() if until > now] if self.leases else ()
+        return sum(live) if live else None
+
+    def spend(self, now: float, units: float) -> bool:
+        """Take units (below 0: give back) of the leases in force, first to end first; False if none is."""
+        live = sorted((until, number) for number, (_, until) in self.leases.items() if until > now)
+        for until, number in live:
+            has = self.leases[number][0]
+            took = units if number == live[-1][1] else min(units, max(has, 0.0))
+            self.leases[number], units = (has - took, until), units - took
+        self.owed += 0.0 if live else units
+        return bool(live)
 
     @classmethod
     def new(cls, tag: int, plan: i.Plan, code: int, now: float, k: float, homes: int = 1) -> Customer:
@@ -125,6 +150,7 @@
 
     def __init__(self) -> None:
         self.actions: list[i.Action] = []
+        self.now = self.gap = 0.0
         self.customers: dict[int, Customer] = {}  # by tag
         self.swept = 0  # customers left when idle ones were last forgotten
         self.mail: dict[int, list[Line]] = {}  # what waits to be told to a peer
@@ -162,7 +188,7 @@
         if len(self.customers) > 2 * self.swept + 64:
             for tag, c in list(self.customers.items()):
                 full = 2 * c.store.burst / c.store.rate if c.store.rate else 0.0  # no rate: none
-                if not c.open and now - c.store.at > full:
+                if not c.open and not c.leases and now - c.store.at > full:
                     del self.customers[tag]
             self.swept = len(self.customers)
 
@@ -195,6 +221,13 @@
                 if self.by_tag.get(server_tag(number)) is server:
                     del self.by_tag[server_tag(number)]
 
+    def tell(self, peer: int, *lines: Line) -> None:
+        """At once, or with what comes up in the gap."""
+        if lines and peer not in self.mail:
+            self.remind(max(self.now, self.spoke.get(peer, 0.0) + self.gap), "mail", peer)
+        if lines:
+            self.mail.setdefault(peer, []).extend(lines)
+
     def resend(self, job: Job) -> bool:
         job.again = True
         self.again.append(job)
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -109,6 +109,19 @@
     assert again.last_stamp() == pytest.approx(4500.0)  # while nobody led, it stood
 
 
+def test_a_leader_whose_disk_takes_no_more_hands_over() -> None:
+    """The word to campaign waited for its writes, which never came to an end: nobody else led for 20 s."""
+    names = ("a/1", "b/1", "c/1")
+    node = Node("a/1", m.Stored(m.Snapshot(0, 0, 0.0, m.Members(names), b"")), Timing(), 1, 0.0)
+    finish(node, 5.0, node.step(5.0, m.Tick()))
+    finish(node, 5.0, node.step(5.0, m.Heard("b/1", m.Vote(1, True, True))))
+    finish(node, 5.0, node.step(5.0, m.Heard("b/1", m.Vote(1, True, False))))
+    assert node.role == "leader"
+    node.step(5.1, m.Propose(1, b"x"))  # not written
+    node.step(5.2, m.Heard("b/1", m.Appended(1, True, 2, 1)))
+    assert m.Send("b/1", m.TimeoutNow(1)) in node.step(5.3, m.Transfer())
+
+
 def test_one_that_never_was_a_member_does_not_campaign() -> None:
     node = Node("b/2", m.Stored(m.Snapshot(0, 0, 0.0, m.Members(()), b"")), Timing(), 1, 0.0)
     assert node.step(100.0, m.Tick()) == [] and node.role == "follower" and node.term == 0
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,228 @@
+"""Leases: the holder's side, the decisions that they bound, and real gateways that share one store."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import time
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from mapleshunt import Refuse, Send
+from mapleshunt.holdings import words as w
+from mapleshunt.holdings.leases import Ask, Leaser, Use
+from mapleshunt.holdings.state import Holdings
+from mapleshunt.interface import Leased
+from mapleshunt.report import tag_of
+from mapleshunt.rig.faults import Faults
+
+from .conftest import Driver
+from .processes import EXAMPLE, query, toy
+
+RATE, BURST, TERM = 10.0, 60.0, 1000.0
+
+
+def kinds(actions: list[Any]) -> list[str]:
+    return [type(one).__name__ for one in actions]
+
+
+def test_decisions_go_by_the_lease_while_it_is_in_force(driver: Driver) -> None:
+    driver.feed(Leased("c", "thin", 1, 2.0, driver.now + 500))
+    assert [kinds(driver.ask(plan="thin")) for _ in range(3)] == [["Send"], ["Send"], ["Refuse"]]
+    driver.wait(600)  # it has run out: as without copies, the plan's own store decides
+    assert [kinds(driver.ask(plan="thin")) for _ in range(5)] == [["Send"]] * 4 + [["Refuse"]]
+    assert driver.gateway.customers[tag_of("c")].owed == 4.0
+
+
+def test_a_store_does_not_fill_up_behind_leases(driver: Driver) -> None:
+    for _ in range(4):
+        driver.feed(Leased("c", "thin", 0, 0.0, driver.now + 500))
+        driver.wait(400)
+    driver.wait(100)  # nobody answers any more: one unit a second since then
+    assert kinds(driver.ask(plan="thin")) == ["Refuse"]
+    driver.wait(1000)
+    assert [kinds(driver.ask(plan="thin")) for _ in range(2)] == [["Send"], ["Refuse"]]
+
+
+def test_none_to_be_had_refuses_and_says_when_to_come_back(driver: Driver) -> None:
+    driver.feed(Leased("c", "thin", 0, 0.0, driver.now + 500))
+    (refused,) = driver.ask(plan="thin")
+    assert isinstance(refused, Refuse) and refused.wait > 0
+
+
+def test_what_was_not_sent_goes_back_and_true_costs_come_off_the_lease() -> None:
+    driver = Driver(settles=True)
+    driver.feed(Leased("c", "thin", 1, 3.0, driver.now + 5000))
+    (sent,) = driver.ask(plan="thin")
+    assert isinstance(sent, Send)
+    driver.answer(sent, cost=2.5)  # one was guessed
+    assert driver.gateway.customers[tag_of("c")].leases[1][0] == pytest.approx(0.5)
+    assert kinds(driver.ask(plan="thin")) == ["Refuse"]
+
+
+class Holder:
+    """A gateway that spends what it may."""
+
+    def __init__(self, number: int, world: Holders) -> None:
+        self.name, self.world = f"h{number}/1", world
+        self.leases: dict[int, list[float]] = {}
+        self.number = 0
+        self.leaser = Leaser(TERM, 2.0, self.left, self.level, lambda _: 0.0)
+        world.state.apply(world.log, w.ENCODE(w.Command(self.name, 0, 0, w.Open())))
+
+    def left(self, _: str, lease: int) -> float:
+        return self.leases.pop(lease, [0.0])[0]
+
+    def level(self, _: str, at: float) -> float:
+        return sum(units for units, until in self.leases.values() if until > at)
+
+    def do(self, actions: list[Any]) -> None:
+        for action in actions:
+            if isinstance(action, Use):
+                self.leases[action.lease] = [action.units, action.until]
+            elif self.world.quorum:
+                self.number += 1
+                command = w.Command(self.name, self.number, self.number, action.operation)
+                result = self.world.state.apply(self.world.log, w.ENCODE(command))
+                self.world.answers.append((self, action, result))
+            else:
+                self.world.answers.append((self, action, None))
+
+    def want(self, units: float) -> None:
+        now = self.world.now
+        self.do(self.leaser.demand(now, "c", RATE, BURST, 3, units))
+        for lease in self.leases.values():
+            if lease[1] > now and lease[0] >= units:
+                lease[0] -= units
+                self.world.spent += units
+                return
+
+
+class Holders(RuleBasedStateMachine):
+    """Three holders, one store; answers come late or never. The log's time never runs ahead of theirs."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.state, self.now, self.log, self.spent = Holdings(), 0.0, 0.0, 0.0
+        self.quorum, self.answers = True, list[tuple[Holder, Ask, Any]]()
+        self.holders = [Holder(n, self) for n in range(3)]
+
+    @rule(ms=st.sampled_from([1.0, 50.0, 300.0, 1200.0]), leads=st.booleans())
+    def wait(self, ms: float, leads: bool) -> None:
+        self.now += ms
+        self.log += ms if leads else 0.0  # while nobody leads it stands
+        for one in self.holders:
+            one.do(one.leaser.tick(self.now))
+
+    @rule(pick=st.integers(0, 2), units=st.sampled_from([0.5, 1.0, 2.0]), times=st.integers(1, 20))
+    def wanted(self, pick: int, units: float, times: int) -> None:
+        for _ in range(times):
+            self.holders[pick].want(units)
+
+    @rule(count=st.integers(1, 5))
+    def answered(self, count: int) -> None:
+        for _ in range(min(count, len(self.answers))):
+            one, ask, result = self.answers.pop(0)
+            one.do(one.leaser.answered(self.now, ask, result))
+
+    @rule()
+    def lost(self) -> None:
+        if self.answers:  # the operation was done, and its answer never came
+            one, ask, _ = self.answers.pop(0)
+            one.do(one.leaser.answered(self.now, ask, None))
+
+    @rule(here=st.booleans())
+    def majority(self, here: bool) -> None:
+        self.quorum = here
+
+    @invariant()
+    def within(self) -> None:
+        if hasattr(self, "state"):
+            assert self.spent <= BURST + RATE / 1000 * self.now + 1e-6
+            assert sum(one.level("c", self.now) for one in self.holders) <= BURST + 1e-6
+
+
+TestHolders = Holders.TestCase
+TestHolders.settings = settings(derandomize=True, max_examples=80, stateful_step_count=40, deadline=None)
+
+
+def test_a_holder_draws_ahead_gives_back_and_forgets() -> None:
+    left: dict[int, float] = {}
+    one = Leaser(TERM, 1.0, lambda _, lease: left.pop(lease), lambda *_: sum(left.values()), lambda _: 0.0)
+    (ask,) = one.demand(0.0, "c", RATE, BURST, 3, 1.0)
+    assert isinstance(ask, Ask) and not one.demand(1.0, "c", RATE, BURST, 3, 1.0)  # one at a time
+    use, none = one.answered(20.0, ask, w.Granted(7, 2.0))
+    assert isinstance(use, Use) and use.until < TERM and none == Use("c", 0, 0.0, 20.0 + TERM)
+    left[7] = 1.5
+    (back,) = one.tick(use.until + 1)
+    assert isinstance(back, Ask) and back.operation == w.Return("c", 7, 0.5)
+    one.tick(10 * TERM)
+    assert not one.customers
+
+
+# Real gateways
+
+
+async def served(folder: Path, discovery: str, lease: bool, fault: str) -> tuple[int, float]:
+    """Answers with a value to one customer who asks three gateways all the time, and for how many s."""
+    config = {**json.loads(EXAMPLE.read_text()), "discovery": discovery}
+    played = Faults(folder, config, 3, 1, election_ms=600)
+    played.lease = lease
+    count = 0
+    try:
+        await played.up()
+        begun, over = time.monotonic(), asyncio.Event()
+
+        async def asks(machine: Any, number: int) -> None:
+            nonlocal count
+            while not over.is_set():
+                with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                    reader, writer = await asyncio.open_connection("127.0.0.1", machine.listen)
+                    while not over.is_set():
+                        number += 1
+                        writer.write(query(number))
+                        line = await asyncio.wait_for(reader.readline(), 10)
+                        if not line:
+                            break
+                        if line.startswith(b"$"):
+                            await reader.readexactly(int(line[1:]) + 2)
+                            count += 1
+                        await asyncio.sleep(0.03)
+                    writer.close()
+                await asyncio.sleep(0.02)
+
+        machines = played.machines.values()
+        tasks = [asyncio.create_task(asks(one, n << 32)) for n, one in enumerate(machines, 1)]
+        await asyncio.sleep(2.0)
+        if fault:
+            await played.fault(fault)
+            played.mend()
+        await asyncio.sleep(2.5)
+        over.set()
+        await asyncio.gather(*tasks)
+        return count, time.monotonic() - begun
+    finally:
+        await played.down()
+
+
+@pytest.mark.parametrize("fault", ["", "kill_leader"])
+def test_three_gateways_share_one_store(fault: str, tmp_path: Path) -> None:
+    """The plan's store holds 5 units and earns one a second. Before its first lease has come a gateway goes
+    by itself: a request or two, which are settled. One that was killed begins with a store of its own, and
+    while nobody leads each earns for itself.
+    """
+    with toy() as discovery:
+        count, seconds = asyncio.run(served(tmp_path, discovery, True, fault))
+    assert 4 <= count <= 5 + seconds + 6 + (5 + 4 if fault else 0)
+
+
+def test_without_leases_each_would_let_in_as_much(tmp_path: Path) -> None:
+    with toy() as discovery:
+        count, _ = asyncio.run(served(tmp_path, discovery, False, ""))
+    assert count >= 15  # a store each
