Move copies on request, and replace gone gateways for good

Seen: while a copy was moved among four real gateways, its successor became a voter and was taken out again 1.5 s later, round and round (voters g0,g2,g1,g3, then g0,g2,g1, then g3 a learner again). Checked and excluded: the change of membership itself was committed each time; the node refused nothing. At fault: _members in net/copies.py sought a successor for the leaving voter among those not yet in the group; once its successor was in, there was none, the leaving one was kept, and the newest was one too many. The same held for gateways gone longer than replace-after-s.

Change: first who stays, then who follows; copies replace GATEWAY; a test with four real gateways through the command line, which moves one copy, kills a gateway for good and waits for both groups to be whole: it fails without the change.

--- a/mapleshunt/cli/copies.py
+++ b/mapleshunt/cli/copies.py
@@ -126,6 +126,46 @@
         raise SystemExit(NOT_NOW)
 
 
+@copies.command()
+@click.argument("gateway")
+@click.option("--group", "only", type=int, help="This group alone, not all that the gateway holds.")
+@settings_option
+@json_option
+def replace(gateway: str, only: int | None, file: Path | None, as_json: bool) -> None:
+    """Move the copies that GATEWAY holds to others, each once its successor has caught up.
+
+    Exit status 1 if a group could not be told now (nobody leads it, or it has just handed over): call again.
+    """
+    from ..rig.callers import ask
+
+    section = _section(file)
+    addresses = _addresses(section)
+    if gateway not in addresses:
+        raise Trouble(f"no peer is named {gateway!r}; there are {', '.join(sorted(addresses))}")
+
+    async def tell(group: int, leader: str) -> str:
+        host, port = addresses[leader]
+        reply = await ask(port, section.fleet, "replace", group, gateway, host=host)
+        return reply.how if reply is not None else "not answered"
+
+    rows = []
+    for number in range(section.groups) if only is None else (only,):
+        told = [one for each in _statuses(section).values() if each for one in each["groups"]]
+        leading = [one for one in told if one["group"] == number and one["role"] == "leader"]
+        leads = max(leading, key=lambda one: one["term"], default=None)
+        if leads is None:
+            rows.append({"group": number, "said": "nobody leads"})
+        elif gateway in [one.rpartition("/")[0] for one in leads["voters"]]:
+            said = asyncio.run(tell(number, leads["leader"]))
+            rows.append({"group": number, "said": "begun" if said == "done" else said})
+    if as_json:
+        print_json(rows)
+    else:
+        table(["group", "said"], [[one["group"], one["said"]] for one in rows])
+    if any(one["said"] != "begun" for one in rows):
+        raise SystemExit(NOT_NOW)
+
+
 @click.group()
 def holdings() -> None:
     """What gateways hold for customers."""
--- a/mapleshunt/net/copies.py
+++ b/mapleshunt/net/copies.py
@@ -55,6 +55,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.due = float("inf")
         self.calls: dict[int, tuple[Link | Here, wire.Call]] = {}
+        self.moved: set[str] = set()  # gateways that operators want it to leave
         self.begun = False  # it takes part; before that it neither hears nor says anything
         self.applied = 0
 
@@ -374,6 +375,14 @@
         if host is None or host.node.role != "leader":
             hint = m.gateway_of(host.node.leader) if host is not None else ""
             return "refused", hint, b""
+        if ask.what == "replace":
+            if ask.copy not in {m.gateway_of(one) for one in host.node.members().voters}:
+                return "refused", self.name, b""
+            if ask.copy == self.name:  # whoever leads cannot take itself out
+                host.step(m.Transfer())
+                return "refused", "", b""
+            host.moved.add(ask.copy)
+            return "done", "", b""
         if ask.what == "transfer":
             host.step(m.Transfer(ask.copy))
             return "done", "", b""
@@ -448,20 +457,28 @@
         """
         node, size = host.node, self.section.size
         members = node.members()
-        wanted: list[m.Copy] = []
+        host.moved &= {m.gateway_of(one) for one in members.all()}
+        stay: list[m.Copy] = []
+        leaving: list[m.Copy] = []
+        successors: list[m.Copy] = []  # of those that leave, the best first
         for voter in members.voters:
             gateway = m.gateway_of(voter)
             copy = self._copy_of(gateway)
             gone = now - self.gone.get(gateway, now) > self.section.replace_after_s
-            if copy is None and gone:
-                holding = {m.gateway_of(one) for one in (*members.all(), *wanted)}
-                spare = [one for one in rank(host.group, self.zones) if one not in holding]
-                copy = next((found for one in spare if (found := self._copy_of(one)) is not None), None)
-                learners = [one for one in members.learners if self._copy_of(m.gateway_of(one)) == one]
-                copy = learners[0] if learners else copy
-            if (copy or voter) not in wanted:
-                wanted.append(copy or voter)
-        wanted = wanted[:size]
+            if gateway in host.moved or (copy is None and gone):
+                leaving.append(voter)
+            elif copy is not None and copy != voter:
+                leaving.append(voter)
+                successors.append(copy)
+            else:
+                stay.append(voter)
+        # Learners that are here go before gateways that would begin anew.
+        successors += [one for one in members.learners if self._copy_of(m.gateway_of(one)) == one]
+        held = {m.gateway_of(one) for one in members.all()} | host.moved
+        spare = [one for one in rank(host.group, self.zones) if one not in held] if leaving else []
+        successors += [found for one in spare if (found := self._copy_of(one)) is not None]
+        wanted = list(dict.fromkeys([*stay, *successors]))[: max(size, len(stay))]
+        wanted += leaving[: max(0, size - len(wanted))]  # better those than too few
         call = self.number()
         for copy in wanted:
             if copy not in members.all():
@@ -470,8 +487,6 @@
             if copy in members.learners:
                 host.step(m.Change(call, "voter", copy))  # refused until it has caught up
                 return
-        extra = [one for one in members.learners if one not in wanted]
-        if len(members.voters) > size or any(one not in wanted for one in members.voters):
-            extra += [one for one in members.voters if one not in wanted and one != self.me]
+        extra = [one for one in members.all() if one not in wanted and one != self.me]
         if extra:
             host.step(m.Change(call, "out", extra[0]))
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import shutil
 import subprocess
 import sys
@@ -72,6 +73,59 @@
     assert "event=link_up" in logs and "speaks versions" not in logs
 
 
+def test_operators_move_a_copy_and_look_at_it(tmp_path: Path) -> None:
+    """The command line against four real gateways, a group on three of them."""
+    played = Faults(tmp_path, plain_config(), 4, 9, 3, election_ms=600.0)
+    played.replace_after = 3.0
+
+    async def play() -> None:
+        try:
+            await played.up()
+            leader = await played.leader()
+            file = tmp_path / "g0" / "operators.sexp"
+
+            async def run(*args: str) -> tuple[int, str]:
+                command = [sys.executable, "-m", "mapleshunt", *args, "--settings", str(file)]
+                one = await asyncio.create_subprocess_exec(
+                    *command, cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE
+                )
+                out, err = await one.communicate()
+                return one.returncode or 0, (out + err).decode()
+
+            status, text = await run("copies", "groups", "--json")
+            (group,) = json.loads(text)
+            voters = [m.gateway_of(one) for one in group["voters"]]
+            assert status == 0 and group["state"] == "led" and len(voters) == 3
+            moved = next(one for one in voters if one != leader.name)
+            spare = next(one for one in played.machines if one not in voters)
+            assert (await run("copies", "replace", moved))[0] == 0
+            assert (await run("copies", "replace", "nobody"))[0] == 2
+            for _ in range(60):
+                (group,) = json.loads((await run("copies", "groups", "--json"))[1])
+                now = {m.gateway_of(one) for one in group["voters"]}
+                if now == {*voters, spare} - {moved} and not group["learners"]:
+                    break
+            else:
+                raise AssertionError(group)
+            assert (await run("holdings", "show", "nobody"))[1] == "nothing is held for nobody\n"
+            assert (await run("copies", "status"))[0] == 0
+            lost = next(one for one in now if one != leader.name)  # gone for longer than it may be
+            played.machines[lost].kill()
+            for _ in range(200):
+                (group,) = json.loads((await run("copies", "groups", "--json"))[1])
+                if {m.gateway_of(one) for one in group["voters"]} == {*now, moved} - {lost}:
+                    break
+            else:
+                raise AssertionError(group)
+            for machine in played.machines.values():
+                machine.kill()
+            assert (await run("copies", "status"))[0] == 1 and (await run("copies", "groups"))[0] == 1
+        finally:
+            await played.down()
+
+    asyncio.run(play())
+
+
 def test_off_nothing_of_it_is_loaded() -> None:
     code = (
         "import sys; import mapleshunt.__main__;"
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -185,6 +185,8 @@
                 with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                     reader, writer = await asyncio.open_connection("127.0.0.1", machine.listen)
                     while not over.is_set():
+                        if number & 0xFF == 1:  # its first lease has come before it goes on
+                            await asyncio.sleep(0.8)
                         number += 1
                         writer.write(query(number))
                         line = await asyncio.wait_for(reader.readline(), 10)
