Let nothing pass on a link that was greeted as an incarnation that is no more

Checked and excluded: the leader's membership code (it replaces whom another incarnation greets; none did). At fault: Links.hang_up ended greeted links only, and one that was just coming up when the disk was renewed kept the greeting of before (mapleshunt/net/links.py).

Change: a link refuses and sends nothing once its greeting is not this gateway's incarnation any more; hang_up ends those that come up too. A test that fails without it.

--- a/mapleshunt/net/links.py
+++ b/mapleshunt/net/links.py
@@ -37,6 +37,7 @@
         self.hello: wire.Hello | None = None
         self.waiting: list[tuple[int, Message]] = []
         self.ended = False
+        self.said = ""  # the incarnation that this end greeted as
         stream.set_nodelay(True)
 
     async def run(self) -> str:
@@ -44,7 +45,9 @@
         buffer = ReadBuffer(ROOM)
         limit = asyncio.get_running_loop().call_later(GREETING, self._late)
         try:
-            self.write(self.links.greeting())
+            hello = self.links.greeting()
+            self.said = hello.incarnation
+            self.write(hello)
             while True:
                 while found := wire.parse(buffer.data, buffer.start, buffer.end):
                     buffer.consume(found[1])
@@ -70,7 +73,15 @@
         if self.hello is None:
             self.stream.close()
 
+    def stale(self) -> bool:
+        """Does the other end take this one for an incarnation that it is no more? Nothing may pass then: what
+        this one says would count as the lost one's word.
+        """
+        return self.said != self.links.greeting().incarnation
+
     def _take(self, frame: wire.Frame) -> None:
+        if self.stale():
+            raise wire.Strange("greeted as another incarnation")
         if self.hello is None:
             if not isinstance(frame, wire.Hello):
                 raise wire.Strange("no greeting")
@@ -212,7 +223,7 @@
     def send(self, peer: str, incarnation: str, group: int, message: Message) -> None:
         """To that incarnation of a gateway; dropped if it is not there. Goes out at the end of this turn."""
         link = self.links.get(peer)
-        if link is None or link.hello is None or link.hello.incarnation != incarnation:
+        if link is None or link.hello is None or link.hello.incarnation != incarnation or link.stale():
             return
         link.waiting.append((group, message))
         if not self.flushing:
@@ -227,7 +238,7 @@
 
     def hang_up(self) -> None:
         """End all links: they come back with another greeting."""
-        for link in list(self.links.values()):
+        for link in [*self.links.values(), *self.strangers]:
             link.stream.close()
 
     def close(self) -> None:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import shutil
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -13,10 +14,13 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from tornado.iostream import IOStream
 
 from mapleshunt.copies import messages as m
 from mapleshunt.copies import wire
 from mapleshunt.copies.placement import group_of, place, rank
+from mapleshunt.net.counters import Counters
+from mapleshunt.net.links import Link
 from mapleshunt.rig.faults import FAULTS, Faults, Report, plain_config
 from mapleshunt.settings import operators
 from mapleshunt.settings.reader import SettingsError
@@ -210,3 +214,33 @@
     moved = [group for group, some in placed.items() if list(place(group, fewer, 3)) != some]
     assert all("g5" in placed[group] for group in moved)
     assert set(rank(3, fleet)) == set(fleet) and 0 <= group_of("c", 64) < 64
+
+
+def test_nothing_passes_on_a_link_that_was_greeted_as_another_incarnation() -> None:
+    """A connection that came up while a disk was renewed: the lost incarnation's votes were given there."""
+
+    class Stub:
+        name, fleet, counters = "n0", "f", Counters()
+        incarnation = "old"
+        heard: list[object] = []  # noqa: RUF012
+
+        def greeting(self) -> wire.Hello:
+            return wire.Hello("f", 1, 1, "n0", self.incarnation, 3, {}, 0)
+
+        def met(self, link: Link) -> None:
+            self.heard.append(link.hello)
+
+    async def run() -> str:
+        ours, theirs = socket.socketpair()
+        stub = Stub()
+        link = Link(stub, IOStream(ours))  # type: ignore[arg-type]
+        task = asyncio.create_task(link.run())
+        await asyncio.sleep(0)
+        stub.incarnation = "new"
+        theirs.sendall(wire.encode(HELLO))
+        reason = await task
+        assert not stub.heard
+        theirs.close()
+        return reason
+
+    assert asyncio.run(run()) == "greeted as another incarnation"
