Keep a group's latest members, and take what a majority reached in one place

Cause: Node.members() read the log backwards at each call, and a leader calls it several times a step.

--- a/mapleshunt/copies/messages.py
+++ b/mapleshunt/copies/messages.py
@@ -226,7 +226,9 @@
 
 
 class WantSnapshot(msgspec.Struct, frozen=True):
-    """Hand in the state as of what is applied now."""
+    """Hand in the state as of the entry at `index`, the last that was handed out to be applied."""
+
+    index: int
 
 
 class Role(msgspec.Struct, frozen=True):
--- a/mapleshunt/copies/node.py
+++ b/mapleshunt/copies/node.py
@@ -13,7 +13,9 @@
 
 import random
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from .messages import (
     Answer,
@@ -48,6 +50,8 @@
     Written,
 )
 
+T = TypeVar("T", int, float)
+
 
 @dataclass(slots=True, frozen=True)
 class Timing:
@@ -95,7 +99,8 @@
         self.me, self.timing, self.random = me, timing, random.Random(seed)
         self.term, self.vote = stored.term, stored.vote
         self.snapshot, self.log = stored.snapshot, list(stored.entries)
-        self.commit = self.applied = stored.snapshot.index
+        self.latest = self._latest()
+        self.commit = stored.snapshot.index  # what is committed is handed out to be applied at once
         self.role, self.leader = "follower", ""
         self.written = self.numbered = 0  # writes that are durable, and that were asked for
         self.durable = self.last_index()  # the log up to here is on disk
@@ -174,6 +179,10 @@
 
     def members(self) -> Members:
         """As of the log's end: a change holds from when it is in the log, committed or not."""
+        return self.latest
+
+    def _latest(self) -> Members:
+        """Read off the log: too far for each step, so it is kept, and read anew where the log turns."""
         for entry in reversed(self.log):
             if entry.members is not None and entry.index > self.snapshot.index:
                 return entry.members
@@ -226,10 +235,8 @@
         if self.role == "leader" and role != "leader":
             for index in sorted(self.calls):
                 self.out.append(Answer(self.calls[index][1], "unknown", hint=self.leader))
-            for call, _, _ in self.reads:
-                self.out.append(Answer(call, "refused", hint=self.leader))
-            for call in self.early:
-                self.out.append(Answer(call, "refused", hint=self.leader))
+            for call in [*(call for call, _, _ in self.reads), *self.early]:
+                self._refuse(call)
             self.calls, self.reads, self.early, self.progress = {}, [], [], {}
             self.transferring = ""
         self.role = role
@@ -340,11 +347,14 @@
         new = tuple(entry for entry in entries if self.term_at(entry.index) != entry.term)
         if new:
             new = entries[entries.index(new[0]) :]
-            del self.log[new[0].index - self.first_index() :]
+            at = new[0].index - self.first_index()
+            changes = any(entry.members is not None for entry in (*self.log[at:], *new))
+            del self.log[at:]
             end = self.last_index()
             self.durable = min(self.durable, end)
             self.marks = deque((number, min(mark, end)) for number, mark in self.marks)
             self.log.extend(new)
+            self.latest = self._latest() if changes else self.latest
             self._write(new)
         agreed = entries[-1].index if entries else before
         if min(message.commit, agreed) > self.commit:
@@ -374,7 +384,8 @@
     def _install(self, snapshot: Snapshot) -> None:
         agrees = self.term_at(snapshot.index) == snapshot.term
         self.log = self.entries(snapshot.index + 1) if agrees else []
-        self.snapshot, self.commit, self.applied = snapshot, snapshot.index, snapshot.index
+        self.snapshot, self.commit = snapshot, snapshot.index
+        self.latest = self._latest()
         self.durable = min(self.durable, self.last_index())
         self._write(snapshot=snapshot, reset=not agrees)
         self.wanted = False
@@ -395,6 +406,7 @@
         self.log.append(entry)
         self._write((entry,))
         if entry.members is not None:
+            self.latest = entry.members
             self._track(now)
         for copy in self.progress:
             self._feed(now, copy)
@@ -490,9 +502,7 @@
         """Commit what a majority has durable, if the last of it is of this term (thesis, 3.6.2)."""
         if self.role != "leader":
             return
-        members = self.members()
-        known = sorted((self._matched(copy) for copy in members.voters), reverse=True)
-        index = known[members.majority() - 1]
+        index = self._reached(self._matched)
         if index > self.commit and self._committable(index):
             self._commit_to(index)
             if self.me not in self.members().voters and not self._changing():
@@ -500,6 +510,11 @@
                 return
             self._begin_early(now)
 
+    def _reached(self, of: Callable[[Copy], T]) -> T:
+        """What a majority of the voters has come to, at least."""
+        members = self.members()
+        return sorted((of(copy) for copy in members.voters), reverse=True)[members.majority() - 1]
+
     def _matched(self, copy: Copy) -> int:
         if copy == self.me:
             return self.durable
@@ -509,14 +524,13 @@
         return self.term_at(index) == self.term
 
     def _commit_to(self, index: int) -> None:
-        self.commit = index
-        for entry in self.entries(self.applied + 1, index + 1):
-            self.applied = entry.index
+        entries, self.commit = self.entries(self.commit + 1, index + 1), index
+        for entry in entries:
             term, call = self.calls.pop(entry.index, (0, None))
             self.out.append(Apply(entry, call if term == entry.term else None))
-        if self.applied - self.snapshot.index >= self.timing.compact and not self.wanted:
+        if self.commit - self.snapshot.index >= self.timing.compact and not self.wanted:
             self.wanted = True
-            self.out.append(WantSnapshot())
+            self.out.append(WantSnapshot(self.commit))
 
     # Calls
 
@@ -552,11 +566,8 @@
         """Answer the reads whose round a majority has confirmed: nobody else led then."""
         if self.role != "leader" or not self.reads:
             return
-        members = self.members()
-        rounds = sorted(
-            (self.round if copy == self.me else self.progress[copy].round if copy in self.progress else 0
-             for copy in members.voters), reverse=True)  # fmt: skip
-        sure = rounds[members.majority() - 1]
+        known = self.progress
+        sure = self._reached(lambda c: self.round if c == self.me else known[c].round if c in known else 0)
         while self.reads and self.reads[0][2] <= sure:
             call, index, _ = self.reads.pop(0)
             self.out.append(Answer(call, "read", index))
@@ -617,7 +628,7 @@
     def _snapped(self, index: int, data: bytes) -> None:
         self.wanted = False
         term = self.term_at(index)
-        if term is None or not self.snapshot.index < index <= self.applied:
+        if term is None or not self.snapshot.index < index <= self.commit:
             return  # one came from the leader meanwhile
         entry = self.log[index - self.first_index()]
         members = self.snapshot.members
@@ -662,11 +673,9 @@
 
     def _quorum_until(self) -> float:
         """When a leader that hears no more stops to be one."""
-        members = self.members()
         known = self.progress
-        heard = sorted((1e18 if copy == self.me else known[copy].heard if copy in known else 0.0
-                        for copy in members.voters), reverse=True)  # fmt: skip
-        return heard[members.majority() - 1] + self.timing.election
+        heard = self._reached(lambda c: 1e18 if c == self.me else known[c].heard if c in known else 0.0)
+        return heard + self.timing.election
 
     def _look(self, now: float) -> None:
         if self.role == "leader":
--- a/mapleshunt/model/copies.py
+++ b/mapleshunt/model/copies.py
@@ -158,9 +158,8 @@
                 one.state, one.last = self.thaw(snapshot.data), snapshot.index
             case m.Answer():
                 self.answered(one, output)
-            case m.WantSnapshot():
-                assert one.node is not None
-                self.later(one, m.Snapped(one.node.applied, self.freeze(one.state)))
+            case m.WantSnapshot(index):
+                self.later(one, m.Snapped(index, self.freeze(one.state)))
             case m.Role(role, term, _, _) if role == "leader":
                 self.elections += 1
                 if self.leaders.setdefault(term, one.copy) != one.copy:
--- a/mapleshunt/net/copies.py
+++ b/mapleshunt/net/copies.py
@@ -57,7 +57,6 @@
         self.calls: dict[int, tuple[Link | Here, wire.Call]] = {}
         self.moved: set[str] = set()  # gateways that operators want it to leave
         self.begun = False  # it takes part; before that it neither hears nor says anything
-        self.applied = 0
 
     def begin(self) -> None:
         self.begun = True
@@ -100,9 +99,8 @@
                 copies.counters.add("copies_installed")
             case m.Answer(call, how, _, hint):
                 self._answer(call, how, hint)
-            case m.WantSnapshot():
-                index, frozen = self.node.applied, self.holdings.freeze()
-                asyncio.get_running_loop().call_soon(self._snap, index, frozen)
+            case m.WantSnapshot(index):
+                asyncio.get_running_loop().call_soon(self._snap, index, self.holdings.freeze())
             case m.Role(role, term, leader, why):
                 leads = m.gateway_of(leader) or "none"
                 log.say("copies_role", group=self.group, role=role, term=term, leader=leads, why=why)
@@ -113,7 +111,6 @@
 
     def _apply(self, entry: m.Entry, call: int | None) -> None:
         result: words.Result = words.Done()
-        self.applied += 1
         if entry.data:
             result = self.holdings.apply(entry.stamp, entry.data)
         if entry.members is not None:
