Say once what copies, holdings and the hand-over said twice, and drop what nobody calls

Cause: read over once more. Two decoders of results and an encoder beside words.ENCODE; what is out of a store summed in three places; two planted faults alike but for a type; two plays that word a broken rule alike; two bounds on what is handed on; the folder of a second process listed twice every 50 ms; Disk.drop and Call.stamp, which nothing called or read; a state entered and then put back in Life.leave.

Change: one piece each.

--- a/mapleshunt/copies/wire.py
+++ b/mapleshunt/copies/wire.py
@@ -47,7 +47,6 @@
     group: int
     command: bytes = b""
     read: str = ""  # "store CUSTOMER", "record KEY"
-    stamp: float = 0.0
 
 
 class Reply(msgspec.Struct, array_like=True, tag=3, frozen=True):
--- a/mapleshunt/duty/knowledge.py
+++ b/mapleshunt/duty/knowledge.py
@@ -66,8 +66,8 @@
         warm=gateway.warm.add(now), alive=gateway.alive.add(now),
         mean=dict(gateway.mean), shares=tuple(gateway.shares),
         customers=tuple(
-            CustomerNote(c.tag, c.code, c.store.level, c.use.value, max(-1.0, now - c.told_at)
-                         if now - c.told_at < FRESH * 10 else -1.0, c.crowd, c.k)
+            CustomerNote(c.tag, c.code, c.store.level, c.use.value,
+                         now - c.told_at if now - c.told_at < FRESH * 10 else -1.0, c.crowd, c.k)
             for c in spent[:MOST_CUSTOMERS]
         ),
         servers=tuple(
--- a/mapleshunt/duty/life.py
+++ b/mapleshunt/duty/life.py
@@ -45,12 +45,10 @@
         return self.phase == "drained" and self._enter("working", now)
 
     def leave(self, now: float, succeeded: bool = False) -> bool:
-        was = self.since if self.phase == "drained" else None
-        if not self._enter("leaving", now):
+        # One that was drained is emptied already: nobody waits for more.
+        if not self._enter("leaving", self.since if self.phase == "drained" else now):
             return False
         self.succeeded = succeeded
-        if was is not None:  # it was emptied already: nobody waits for more
-            self.since = was
         return True
 
     # What that means
--- a/mapleshunt/holdings/state.py
+++ b/mapleshunt/holdings/state.py
@@ -166,8 +166,7 @@
             return None
         held = tuple(pair for pair in one.held if pair[1].until > stamp)
         names = tuple(pair for pair in one.names if pair[1].until > stamp)
-        out = sum(pair[1].units for pair in (*held, *names))
-        level = min(one.burst - out, one.level + one.rate * max(0.0, stamp - one.at))
+        level = min(one.burst - _out(held, names), one.level + one.rate * max(0.0, stamp - one.at))
         return _changed(one, held=held, names=names, level=level, at=max(one.at, stamp))
 
     def _keep(self, customer: str, one: StoreState) -> None:
@@ -183,8 +182,7 @@
                 return w.Denied("full")
             one = StoreState(ask.rate / 1000, ask.burst, ask.burst, stamp)
         elif (one.rate, one.burst) != (ask.rate / 1000, ask.burst):  # another plan: no level is gained
-            held = sum(pair[1].units for pair in (*one.held, *one.names))
-            level = min(one.level, ask.burst - held)
+            level = min(one.level, ask.burst - _out(one.held, one.names))
             one = _changed(one, rate=ask.rate / 1000, burst=ask.burst, level=level)
         units = min(ask.units, one.level)
         if units < ask.least or len(one.held) >= MOST_LEASES:
@@ -209,8 +207,7 @@
         one = self.store(stamp, customer)
         if one is None:
             return w.Denied("store")
-        out = sum(pair[1].units for pair in (*one.held, *one.names))
-        level = max(-one.burst, min(one.burst - out, one.level - units))
+        level = max(-one.burst, min(one.burst - _out(one.held, one.names), one.level - units))
         self._keep(customer, _changed(one, level=level))
         return w.Done(level)
 
@@ -271,5 +268,10 @@
         return w.Done(version + 1)
 
 
+def _out(leases: tuple[tuple[int, Held], ...], names: tuple[tuple[str, Held], ...]) -> float:
+    """Units that are leased or reserved."""
+    return sum(one.units for _, one in leases) + sum(one.units for _, one in names)
+
+
 def _changed(one: StoreState, **changes: Any) -> StoreState:
     return msgspec.structs.replace(one, **changes)
--- a/mapleshunt/holdings/words.py
+++ b/mapleshunt/holdings/words.py
@@ -105,3 +105,4 @@
 
 ENCODE = msgspec.msgpack.Encoder().encode
 DECODE: Callable[[bytes], Command] = msgspec.msgpack.Decoder(Command).decode
+RESULT: Callable[[bytes], Result] = msgspec.msgpack.Decoder(Result).decode
--- a/mapleshunt/model/copies.py
+++ b/mapleshunt/model/copies.py
@@ -377,3 +377,12 @@
             self.now, _, what = heapq.heappop(self.events)
             what()
         self.now = until
+
+
+def verdict(kind: type[Group], seed: int, make: Make) -> str:
+    """What broke in the play of that seed, three copies or five, or nothing."""
+    try:
+        kind(seed, copies=3 + 2 * (seed % 2), make=make).play()
+    except Broken as broken:
+        return str(broken)
+    return ""
--- a/mapleshunt/model/copies_faults.py
+++ b/mapleshunt/model/copies_faults.py
@@ -4,27 +4,31 @@
 
 from ..copies import messages as m
 from ..copies.node import Node
-from .copies import Broken, Disk, Group, Machine
+from .copies import Disk, Group, Machine, verdict
 
 
-class VoteBeforeDurable(Node):
-    """A vote is answered before it is on disk."""
+class Hasty(Node):
+    """Some messages go out before what they rest on is on disk."""
+
+    hasty: type[m.Message]  # which
 
     def _say(self, to: m.Copy, message: m.Message) -> None:
-        if isinstance(message, m.Vote):
+        if isinstance(message, self.hasty):
             self.out.append(m.Send(to, message))
         else:
             super()._say(to, message)
 
 
-class AppendedBeforeDurable(Node):
+class VoteBeforeDurable(Hasty):
+    """A vote is answered before it is on disk."""
+
+    hasty = m.Vote
+
+
+class AppendedBeforeDurable(Hasty):
     """Entries are acknowledged before they are on disk."""
 
-    def _say(self, to: m.Copy, message: m.Message) -> None:
-        if isinstance(message, m.Appended):
-            self.out.append(m.Send(to, message))
-        else:
-            super()._say(to, message)
+    hasty = m.Appended
 
 
 class OlderTermByCount(Node):
@@ -109,12 +113,6 @@
 PLANTS = (*NODES, *GROUPS)
 
 
-def play(seed: int, plant: str = "", moves: int = 40) -> str:
+def play(seed: int, plant: str = "") -> str:
     """What broke in the play of that seed, or nothing."""
-    kind = GROUPS.get(plant, Group)
-    group = kind(seed, copies=3 + 2 * (seed % 2), make=NODES.get(plant, Node))
-    try:
-        group.play(moves=moves)
-    except Broken as broken:
-        return str(broken)
-    return ""
+    return verdict(GROUPS.get(plant, Group), seed, NODES.get(plant, Node))
--- a/mapleshunt/model/copies_promises.py
+++ b/mapleshunt/model/copies_promises.py
@@ -14,7 +14,7 @@
 from ..copies.node import Node
 from ..holdings import words as w
 from ..holdings.state import Frozen, Holdings
-from .copies import Broken, Group, Machine, Make
+from .copies import Broken, Group, Machine, Make, verdict
 from .promises import Event, broken
 
 SESSIONS = 3
@@ -155,8 +155,4 @@
 def play(seed: int, plant: str = "") -> str:
     """What broke in the play of that seed, or nothing."""
     kind, make = PLANTS.get(plant, (Promises, Node))
-    try:
-        kind(seed, copies=3 + 2 * (seed % 2), make=make).play()
-    except Broken as said:
-        return str(said)
-    return ""
+    return verdict(kind, seed, make)
--- a/mapleshunt/net/copies.py
+++ b/mapleshunt/net/copies.py
@@ -117,7 +117,7 @@
             log.say("copies_members", group=self.group, voters=",".join(entry.members.voters),
                     learners=",".join(entry.members.learners) or "none")  # fmt: skip
         if call is not None:
-            self._reply(call, "done", "", msgspec.msgpack.encode(result))
+            self._reply(call, "done", "", words.ENCODE(result))
 
     def _answer(self, call: int, how: str, hint: str) -> None:
         if how == "read" and call in self.calls:
--- a/mapleshunt/net/handover.py
+++ b/mapleshunt/net/handover.py
@@ -15,12 +15,13 @@
 import fcntl
 import os
 import re
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 
 import msgspec
 
-MOST_BYTES = 1 << 20
+from ..duty.knowledge import MOST_BYTES
+
 READY = b"ready"
 
 
@@ -95,16 +96,17 @@
 
     # Whom there is
 
+    def others(self) -> tuple[list[int], list[int]]:
+        """Processes that are alive: the older and the newer ones, the newest first."""
+        numbers = sorted(self._numbers(), reverse=True)
+        living = [one for one in numbers if one != self.number and self._alive(one)]
+        return [one for one in living if one < self.number], [one for one in living if one > self.number]
+
     def before(self) -> list[int]:
-        """Processes that are older and alive, the newest first."""
-        return self._living(lambda one: one < self.number)
+        return self.others()[0]
 
     def after(self) -> list[int]:
-        """Processes that are newer and alive, the newest first."""
-        return self._living(lambda one: one > self.number)
-
-    def _living(self, which: Callable[[int], bool]) -> list[int]:
-        return sorted((one for one in self._numbers() if which(one) and self._alive(one)), reverse=True)
+        return self.others()[1]
 
     def ready(self) -> None:
         """This process takes clients from now on."""
--- a/mapleshunt/net/leases.py
+++ b/mapleshunt/net/leases.py
@@ -5,7 +5,6 @@
 import asyncio
 from dataclasses import dataclass
 
-import msgspec
 from tornado.ioloop import PeriodicCallback
 
 from .. import interface as i
@@ -14,6 +13,7 @@
 from ..holdings import words as w
 from ..holdings.leases import Action, Ask, Leaser, Use
 from ..report import tag_of
+from ..state import Customer
 from . import log
 from .copies import Copies
 from .counters import Counters
@@ -24,7 +24,6 @@
 AGAIN = 0.25  # s after which a call is made again, through whoever leads then
 PATIENCE = {w.Lease: 1.0, w.Return: 1.0, w.Settle: 30.0}  # terms after which nobody waits for an answer
 MOST_OPEN = 32  # operations of a session that wait; more than that are not begun
-RESULT: msgspec.msgpack.Decoder[w.Result] = msgspec.msgpack.Decoder(w.Result)
 
 
 @dataclass(slots=True)
@@ -82,7 +81,7 @@
             one.next = min(one.next, asyncio.get_running_loop().time() + EVERY / 1000)
             return
         del self.open[number]
-        result = RESULT.decode(reply.data)
+        result = w.RESULT(reply.data)
         if one.ask is None:
             self.begun = True
         elif isinstance(result, w.Denied) and result.why == "session":
@@ -121,16 +120,19 @@
 
     # What the decisions hold
 
+    def _held(self, customer: str) -> Customer | None:
+        return self.driver.gateway.customers.get(tag_of(customer))
+
     def _left(self, customer: str, lease: int) -> float:
-        one = self.driver.gateway.customers.get(tag_of(customer))
+        one = self._held(customer)
         return one.leases.pop(lease, (0.0, 0.0))[0] if one is not None else 0.0
 
     def _level(self, customer: str, at: float) -> float:
-        one = self.driver.gateway.customers.get(tag_of(customer))
+        one = self._held(customer)
         return (one.leased(at) or 0.0) if one is not None else 0.0
 
     def _owed(self, customer: str) -> float:
-        one = self.driver.gateway.customers.get(tag_of(customer))
+        one = self._held(customer)
         if one is None:
             return 0.0
         owed, one.owed = one.owed, 0.0
@@ -188,5 +190,3 @@
         except Exception:
             self.counters.add("exceptions")
             log.trouble("leases_exception")
-
-
--- a/mapleshunt/net/succession.py
+++ b/mapleshunt/net/succession.py
@@ -95,7 +95,7 @@
     def tend(self, working: bool) -> None:
         """Look for other processes, hand on and take over. Called many times a second."""
         try:
-            older, newer = self.handover.before(), self.handover.after()
+            older, newer = self.handover.others()
             self.together = bool(older or newer)
             self._charge(older)
             if newer and newer[0] != self.to and working:
@@ -112,5 +112,3 @@
 
     def close(self) -> None:
         self.handover.close()
-
-
--- a/mapleshunt/rig/callers.py
+++ b/mapleshunt/rig/callers.py
@@ -16,7 +16,6 @@
 from ..model.promises import Event
 
 PATIENCE = 0.7  # s for an answer, after which another gateway is asked
-RESULT: msgspec.msgpack.Decoder[words.Result] = msgspec.msgpack.Decoder(words.Result)
 
 
 class Line:
@@ -123,7 +122,7 @@
         data = words.ENCODE(command)
         event = Event(self.name, mine, operation, self.now())
         self.history.append(event)
-        result = RESULT.decode(await self._until(lambda n: wire.Call(n, self.group, data)))
+        result = words.RESULT(await self._until(lambda n: wire.Call(n, self.group, data)))
         event.result, event.ended = result, self.now()
         return result
 
--- a/mapleshunt/store/disk.py
+++ b/mapleshunt/store/disk.py
@@ -189,12 +189,6 @@
         self.loaded[group] = stored
         return stored
 
-    def drop(self, group: int) -> None:
-        with self.db:
-            for table in ("vote", "log", "snapshot"):
-                self.db.execute(f"delete from {table} where grp = ?", (group,))
-        self.loaded.pop(group, None)
-
     def _snapshot(self, group: int, snapshot: m.Snapshot) -> None:
         data = msgspec.msgpack.encode(snapshot)
         row = (group, data, checksum("snapshot", group, data))
