Bind and accept by one piece for clients, the door and links; tend by one rule

Cause: read over once more. The door and the links each wrote again what the gateway's own listener does: bind, accept, count and log what fails.

Change: net/listening.py serves all three listeners, and keep_tending says when there is something to tend.

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -22,10 +22,11 @@
 from .duty.life import Life
 from .net import client, log, resp
 from .net.backoff import Backoff
-from .net.config import Address, Config, ConfigError, family_of, load, reload, text_of
+from .net.config import Address, Config, ConfigError, load, reload, text_of
 from .net.counters import Counters
 from .net.discovery import Discovery, MemberList, member_list
 from .net.driver import Driver
+from .net.listening import accepted, bound
 from .net.peers import Peers
 from .net.upstream import UpstreamGroup
 
@@ -44,7 +45,6 @@
 ACCEPT_AT_ONCE = 8
 COUNTERS_EVERY = 10_000  # ms: one that is killed prints none at its end
 RESTED = 0.1  # s with nothing owed after which a connection makes room when there are many
-DOOR = 17  # descriptors of the operators' door and its callers, where there is one
 RESERVE = 32  # descriptors kept for the log, the loop, the listener, discovery and peers
 SERVERS_PART = 0.4  # part of the other descriptors that connections to till servers may take
 
@@ -54,15 +54,19 @@
 
     def __init__(self, config: Config) -> None:
         self.config, self.counters = config, Counters()
-        usable = max(16, config.sockets - RESERVE - (DOOR if config.management else 0))
-        self.usable = usable
+        kept = RESERVE
+        if config.management is not None:
+            from .net.door import DESCRIPTORS
+
+            kept += DESCRIPTORS
+        self.usable = max(16, config.sockets - kept)
         self.group = UpstreamGroup(self.counters, config.dial_timeout, config.conn_idle / 3, 0)
         self.share(1)
         self.driver = Driver(config.settings, config.seed, self.group, self.counters)
         self.service = client.Service(self.driver, self.counters, config.seed, config.max_open)
         self.service.ready = self.ready
         self.chance = random.Random(config.seed)
-        self.tending = PeriodicCallback(self.tend, TEND_EVERY)  # runs only while there is something to tend
+        self.tending = PeriodicCallback(self.tend, TEND_EVERY)
         self.watching: asyncio.Task[None] | None = None
         self.revision: int | None = None  # of the list known
         self.peers: Peers | None = None
@@ -115,15 +119,8 @@
         for _ in range(ACCEPT_AT_ONCE):
             if not self.accepting:
                 return
-            try:
-                connection, _address = listener.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:  # it ended before it was accepted, or no descriptor is left
-                self.counters.add("accepts_failed")
-                log.say("accept_failed", why=error)
+            if (connection := accepted(listener, self.counters)) is None:
                 return
-            connection.setblocking(False)
             self.service.serve(IOStream(connection, max_write_buffer_size=self.most_unwritten))
             count = len(self.service.connections)
             if count >= self.most_clients and not self.service.make_room():
@@ -180,11 +177,7 @@
             if not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
                 raise ValueError(f"descriptor {self.config.accept_fd} does not listen")
             return listener
-        listener = socket.socket(family_of(self.config.listen))
-        listener.setblocking(False)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(self.config.listen)
-        return listener
+        return bound(self.config.listen)
 
     def hear(self) -> None:
         """Exchange messages with other gateways from now on, if the settings allow it."""
@@ -215,7 +208,7 @@
         self.life.listening(self.time())
         if self.succession is not None:
             self.succession.ready()
-            self.tending.start()
+        self.keep_tending()
         if self.door is not None:
             self.door.open()
         listen = text_of(self.config.listen)
@@ -242,6 +235,10 @@
         if changed:
             log.say(event, open=len(self.driver.open), client_connections=len(self.service.connections))
         self.tend()
+        self.keep_tending()
+
+    def keep_tending(self) -> None:
+        """Tend from time to time, for as long as there is something to tend."""
         if self.succession is None and self.life.takes():
             self.tending.stop()
         elif not self.tending.is_running():
@@ -365,18 +362,9 @@
         for sweep in [*sweeps, self.tending]:
             sweep.stop()
         self.group.close()
-        if self.peers is not None:
-            self.peers.close()
-        if self.leases is not None:
-            self.leases.close()
-        if self.copies is not None:
-            self.copies.close()
-        if self.recorder is not None:
-            self.recorder.close()
-        if self.door is not None:
-            self.door.close()
-        if self.succession is not None:
-            self.succession.close()
+        for part in (self.peers, self.leases, self.copies, self.recorder, self.door, self.succession):
+            if part is not None:
+                part.close()
         self.print_counters()
 
     async def leave(self) -> None:
@@ -390,8 +378,7 @@
         for listener in self.listeners:
             listener.close()
         self.tend()
-        if not self.tending.is_running():
-            self.tending.start()
+        self.keep_tending()
         longest = max((cls.deadline for cls in self.config.settings.classes.values()), default=0.0)
         try:
             async with asyncio.timeout(longest / 1000 + LATE):
--- a/mapleshunt/net/copies.py
+++ b/mapleshunt/net/copies.py
@@ -186,7 +186,7 @@
         try:
             self.links = Links(
                 section.fleet, name, addresses[name], {k: v for k, v in addresses.items() if k != name},
-                self.greeting, self._heard, self._called, self._met, counters, self.chance,
+                self.greeting, self._heard, self._called, self._replied, self._met, counters, self.chance,
             )  # fmt: skip
         except OSError as error:
             self.disk.close()
@@ -198,7 +198,6 @@
         self.gone: dict[str, float] = {}  # since when a gateway is not here
         self.ended = self.renewing = False
         self.here = Here(self._replied)
-        self.links.replied = self._replied
         self.waiting: dict[int, Callable[[wire.Reply], None]] = {}  # this gateway's own calls
 
     @property
--- a/mapleshunt/net/door.py
+++ b/mapleshunt/net/door.py
@@ -16,10 +16,12 @@
 
 from . import http, log
 from .buffer import ReadBuffer, TooLong
-from .config import Address, family_of
+from .config import Address
 from .counters import Counters
+from .listening import accepted, bound
 
-CALLERS = 16  # connections held at once, each a descriptor
+CALLERS = 16  # connections held at once
+DESCRIPTORS = CALLERS + 1  # that it may hold in all
 AT_ONCE = 4  # connections accepted in one turn of the loop
 PATIENCE = 6.0  # s that a caller may take for its call
 LINGER = 0.5  # s for which a caller that has its answer may end the connection itself
@@ -39,10 +41,7 @@
         """Raises OSError if the address cannot be had."""
         self.call, self.counters = call, counters
         self.callers: dict[Caller, None] = {}  # the oldest first
-        self.listener = socket.socket(family_of(listen))
-        self.listener.setblocking(False)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(listen)
+        self.listener = bound(listen)
 
     def open(self) -> None:
         self.listener.listen(BACKLOG)
@@ -50,15 +49,8 @@
 
     def _accept(self) -> None:
         for _ in range(AT_ONCE):
-            try:
-                connection, _address = self.listener.accept()
-            except BlockingIOError:
+            if (connection := accepted(self.listener, self.counters, "door_")) is None:
                 return
-            except OSError as error:
-                self.counters.add("door_accepts_failed")
-                log.say("door_accept_failed", why=error)
-                return
-            connection.setblocking(False)
             if len(self.callers) >= CALLERS:
                 waiting = (one for one in self.callers if not one.answered)
                 next(waiting, next(iter(self.callers))).end("made_room")
--- a/mapleshunt/net/http.py
+++ b/mapleshunt/net/http.py
@@ -61,12 +61,17 @@
         at += size + 2
 
 
+def _head_end(data: bytearray, start: int, end: int) -> int | None:
+    """Where a head's last line ends, or None until it is whole."""
+    at = data.find(END, start, min(end, start + MAX_HEAD))
+    if at < 0 and end - start >= MAX_HEAD:
+        raise ProtocolError("a head is too long")
+    return at if at >= 0 else None
+
+
 def parse_response(data: bytearray, start: int, end: int) -> tuple[Response, int] | None:
     """A whole response and where it ends, or None until it is whole."""
-    at = data.find(END, start, min(end, start + MAX_HEAD))
-    if at < 0:
-        if end - start >= MAX_HEAD:
-            raise ProtocolError("a head is too long")
+    if (at := _head_end(data, start, end)) is None:
         return None
     status, fields = _headers(bytes(data[start:at]))
     keep, at = fields.get("connection", "").lower() != "close", at + len(END)
@@ -93,10 +98,7 @@
 
 def parse_request(data: bytearray, start: int, end: int) -> Request | None:
     """The head of a call, or None until it is whole. What may follow it is not looked at."""
-    at = data.find(END, start, min(end, start + MAX_HEAD))
-    if at < 0:
-        if end - start >= MAX_HEAD:
-            raise ProtocolError("a head is too long")
+    if (at := _head_end(data, start, end)) is None:
         return None
     words = bytes(data[start:at]).split(b"\r\n", 1)[0].decode("latin-1").split(" ")
     method = words[0].isascii() and words[0].isalpha()
@@ -105,8 +107,8 @@
     return Request(words[0], words[1])
 
 
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           500: "Internal Server Error", 503: "Service Unavailable"}  # fmt: skip
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 500: "Internal Server Error",
+           503: "Service Unavailable"}  # fmt: skip
 
 
 def response(status: int, body: bytes) -> bytes:
--- a/mapleshunt/net/links.py
+++ b/mapleshunt/net/links.py
@@ -19,6 +19,7 @@
 from .buffer import ReadBuffer, TooLong
 from .config import Address, family_of
 from .counters import Counters
+from .listening import accepted, bound
 
 BACKLOG = 64
 MOST_UNSENT = 4 << 20  # bytes that a link holds before it drops
@@ -119,8 +120,8 @@
 
 
 class Links:
-    """All of a gateway's. `heard(hello, group, message)` takes messages, `called(link, frame)` calls, and
-    `met(hello)` whoever has come, before anything of theirs is taken.
+    """All of a gateway's. `heard(hello, group, message)` takes messages, `called(link, frame)` calls,
+    `replied(reply)` what answers its own, and `met(hello)` whoever has come, before anything else of theirs.
     """
 
     def __init__(
@@ -132,23 +133,21 @@
         greeting: Callable[[], wire.Hello],
         heard: Callable[[wire.Hello, int, Message], None],
         called: Callable[[Link, wire.Call | wire.Ask], None],
+        replied: Callable[[wire.Reply], None],
         met: Callable[[wire.Hello], None],
         counters: Counters,
         chance: random.Random,
     ) -> None:
         """Raises OSError if the address cannot be had."""
         self.fleet, self.name, self.peers = fleet, name, dict(peers)
-        self.greeting, self.heard, self.called, self.told_met = greeting, heard, called, met
+        self.greeting, self.heard, self.called = greeting, heard, called
+        self.replied, self.told_met = replied, met
         self.counters, self.chance = counters, chance
         self.links: dict[str, Link] = {}  # by gateway, greeted
         self.strangers: dict[Link, None] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.flushing = False
-        self.replied: Callable[[wire.Reply], None] = lambda reply: None  # to this gateway's own calls
-        self.listener = socket.socket(family_of(listen))
-        self.listener.setblocking(False)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(listen)
+        self.listener = bound(listen)
 
     def open(self) -> None:
         self.listener.listen(BACKLOG)
@@ -163,15 +162,8 @@
         task.add_done_callback(self.tasks.discard)
 
     def _accept(self) -> None:
-        try:
-            connection, _ = self.listener.accept()
-        except BlockingIOError:
-            return
-        except OSError as error:
-            self.counters.add("copies_accepts_failed")
-            log.say("copies_accept_failed", why=error)
+        if (connection := accepted(self.listener, self.counters, "copies_")) is None:
             return
-        connection.setblocking(False)
         if len(self.strangers) >= MOST_STRANGERS:
             next(iter(self.strangers)).stream.close()
         link = Link(self, IOStream(connection, max_write_buffer_size=MOST_UNSENT))
