Ask gateways for their status, and start them, by one piece in rig and command line

Cause: read over once more. The fault rig and the command line each gathered statuses and looked for who leads, the command line one gateway after another and anew for every group; the fault rig started gateways beside rig/gateways.py; a caller's hosts were put in after it was made.

Change: callers.statuses and callers.leading, gateways.launch, callers that know gateways by name and address. A check in Faults.whole that could not fail is gone.

--- a/benchmarks/copies_cost.py
+++ b/benchmarks/copies_cost.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import statistics
 import tempfile
 import time
@@ -18,7 +17,7 @@
 from mapleshunt.copies import messages as m
 from mapleshunt.holdings import words as w
 from mapleshunt.rig.callers import Caller
-from mapleshunt.rig.faults import FLEET, Faults, plain_config
+from mapleshunt.rig.faults import Faults, plain_config
 from mapleshunt.store.disk import Disk
 
 AT_ONCE = 64  # sessions
@@ -40,11 +39,6 @@
 
 
 class Cost(Faults):
-    def caller(self, number: int) -> Caller:
-        ports = [one.port for one in self.machines.values()]
-        chance = random.Random(number)
-        return Caller(f"s{number}", ports, list(self.machines), FLEET, 0, self.history, self.now, chance)
-
     async def count(self, caller: Caller, until: float, prefix: str) -> list[float]:
         took: list[float] = []
         await caller.do(w.Open())
--- a/mapleshunt/cli/copies.py
+++ b/mapleshunt/cli/copies.py
@@ -47,16 +47,9 @@
 
 
 def _statuses(section: Any) -> dict[str, Any]:
-    from ..rig.callers import ask
+    from ..rig.callers import statuses
 
-    async def all_of_them() -> dict[str, Any]:
-        found: dict[str, Any] = {}
-        for name, (host, port) in _addresses(section).items():
-            reply = await ask(port, section.fleet, "status", host=host)
-            found[name] = msgspec.msgpack.decode(reply.data) if reply is not None else None
-        return found
-
-    return asyncio.run(all_of_them())
+    return asyncio.run(statuses(_addresses(section), section.fleet))
 
 
 settings_option = click.option(
@@ -99,13 +92,14 @@
 @json_option
 def groups(file: Path | None, as_json: bool) -> None:
     """Each group: who leads, decides and listens, and how far it is; exit status 1 if one has no leader."""
+    from ..rig.callers import leading
+
     section = _section(file)
     found = _statuses(section)
     rows, lacking = [], 0
     for number in range(section.groups):
         told = [one for each in found.values() if each for one in each["groups"] if one["group"] == number]
-        leading = [one for one in told if one["role"] == "leader"]
-        leads = max(leading, key=lambda one: one["term"], default=None)
+        leads = leading(found, number)
         best = leads or max(told, key=lambda one: (one["term"], one["commit"]), default=None)
         lacking += leads is None
         rows.append({
@@ -136,27 +130,22 @@
 
     Exit status 1 if a group could not be told now (nobody leads it, or it has just handed over): call again.
     """
-    from ..rig.callers import ask
+    from ..copies.messages import gateway_of
+    from ..rig.callers import ask, leading
 
     section = _section(file)
     addresses = _addresses(section)
     if gateway not in addresses:
         raise Trouble(f"no peer is named {gateway!r}; there are {', '.join(sorted(addresses))}")
 
-    async def tell(group: int, leader: str) -> str:
-        host, port = addresses[leader]
-        reply = await ask(port, section.fleet, "replace", group, gateway, host=host)
-        return reply.how if reply is not None else "not answered"
-
-    rows = []
+    found, rows = _statuses(section), []
     for number in range(section.groups) if only is None else (only,):
-        told = [one for each in _statuses(section).values() if each for one in each["groups"]]
-        leading = [one for one in told if one["group"] == number and one["role"] == "leader"]
-        leads = max(leading, key=lambda one: one["term"], default=None)
+        leads = leading(found, number)
         if leads is None:
             rows.append({"group": number, "said": "nobody leads"})
-        elif gateway in [one.rpartition("/")[0] for one in leads["voters"]]:
-            said = asyncio.run(tell(number, leads["leader"]))
+        elif gateway in map(gateway_of, leads["voters"]):
+            reply = asyncio.run(ask(addresses[leads["leader"]], section.fleet, "replace", number, gateway))
+            said = reply.how if reply is not None else "not answered"
             rows.append({"group": number, "said": "begun" if said == "done" else said})
     if as_json:
         print_json(rows)
@@ -181,14 +170,12 @@
     from ..rig.callers import Caller
 
     section = _section(file)
-    addresses = _addresses(section)
 
     async def read() -> Any:
         caller = Caller(
-            f"cli-{os.getpid()}", [port for _, port in addresses.values()], list(addresses), section.fleet,
-            group_of(customer, section.groups), [], time.monotonic, random.Random(),
+            f"cli-{os.getpid()}", _addresses(section), section.fleet, group_of(customer, section.groups), [],
+            time.monotonic, random.Random(),
         )  # fmt: skip
-        caller.hosts = [host for host, _ in addresses.values()]
         try:
             return await asyncio.wait_for(caller.read("store", customer), PATIENCE)
         finally:
--- a/mapleshunt/rig/callers.py
+++ b/mapleshunt/rig/callers.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import msgspec
@@ -15,6 +15,8 @@
 from ..holdings.state import Record, StoreState
 from ..model.promises import Event
 
+Address = tuple[str, int]
+
 PATIENCE = 0.7  # s for an answer, after which another gateway is asked
 
 
@@ -26,8 +28,8 @@
         self.data = bytearray()
 
     @classmethod
-    async def open(cls, port: int, fleet: str, host: str = "127.0.0.1") -> Line:
-        reader, writer = await asyncio.open_connection(host, port)
+    async def open(cls, where: Address, fleet: str) -> Line:
+        reader, writer = await asyncio.open_connection(*where)
         line = cls(reader, writer)
         writer.write(wire.encode(wire.Hello(fleet, wire.LOWEST, wire.HIGHEST, "client", "", 0, {}, 0)))
         await line.next(wire.Hello)
@@ -49,12 +51,12 @@
 
 
 async def ask(
-    port: int, fleet: str, what: str, group: int = -1, copy: str = "", host: str = "127.0.0.1"
+    where: Address, fleet: str, what: str, group: int = -1, copy: str = ""
 ) -> wire.Reply | None:
     """An operator's question; None if nobody answers."""
     with contextlib.suppress(OSError, TimeoutError, wire.Strange):
         async with asyncio.timeout(PATIENCE):
-            line = await Line.open(port, fleet, host)
+            line = await Line.open(where, fleet)
             try:
                 line.writer.write(wire.encode(wire.Ask(1, what, group, copy)))
                 reply: wire.Reply = await line.next(wire.Reply)
@@ -64,26 +66,39 @@
     return None
 
 
+async def statuses(where: Mapping[str, Address], fleet: str) -> dict[str, dict[str, Any] | None]:
+    """What each gateway tells of itself; None of one that does not answer."""
+    replies = await asyncio.gather(*(ask(one, fleet, "status") for one in where.values()))
+    told = (msgspec.msgpack.decode(one.data) if one is not None else None for one in replies)
+    return dict(zip(where, told, strict=True))
+
+
+def leading(told: Mapping[str, dict[str, Any] | None], group: int) -> dict[str, Any] | None:
+    """The group as it is told by who leads it, in the highest term; None if nobody does."""
+    groups = (one for status in told.values() if status is not None for one in status["groups"])
+    leads = (one for one in groups if one["group"] == group and one["role"] == "leader")
+    return max(leads, key=lambda one: one["term"], default=None)
+
+
 class Caller:
     """One session: its operations, each repeated until its answer has come."""
 
     def __init__(
-        self, name: str, ports: Sequence[int], names: Sequence[str], fleet: str, group: int,
+        self, name: str, gateways: Mapping[str, Address], fleet: str, group: int,
         history: list[Event], now: Callable[[], float], chance: random.Random,
     ) -> None:  # fmt: skip
-        self.name, self.ports, self.names, self.fleet, self.group = name, ports, names, fleet, group
+        self.name, self.gateways, self.fleet, self.group = name, gateways, fleet, group
         self.history, self.now, self.chance = history, now, chance
-        self.hosts = ["127.0.0.1"] * len(ports)
         self.number = 0
         self.line: Line | None = None
-        self.at = chance.randrange(len(ports))
+        self.at = chance.choice(list(gateways))
         self.repeats = 0
 
     async def _once(self, call: wire.Call) -> wire.Reply | None:
         try:
             async with asyncio.timeout(PATIENCE):
                 if self.line is None:
-                    self.line = await Line.open(self.ports[self.at], self.fleet, self.hosts[self.at])
+                    self.line = await Line.open(self.gateways[self.at], self.fleet)
                 self.line.writer.write(wire.encode(call))
                 while True:
                     reply: wire.Reply = await self.line.next(wire.Reply)
@@ -97,7 +112,7 @@
         if self.line is not None:
             self.line.close()
         self.line = None
-        self.at = self.chance.randrange(len(self.ports))
+        self.at = self.chance.choice(list(self.gateways))
 
     async def _until(self, make: Callable[[int], wire.Call]) -> bytes:
         """Call until it is done: the same operation by the same number, wherever it goes."""
@@ -108,9 +123,9 @@
             if reply is not None and reply.how == "done":
                 return reply.data
             self.repeats += 1
-            if reply is not None and reply.hint in self.names:
+            if reply is not None and reply.hint in self.gateways:
                 self._leave()
-                self.at = self.names.index(reply.hint)
+                self.at = reply.hint
             elif reply is not None:
                 self._leave()
             await asyncio.sleep(self.chance.uniform(0.01, 0.1))
--- a/mapleshunt/rig/faults.py
+++ b/mapleshunt/rig/faults.py
@@ -9,13 +9,12 @@
 import asyncio
 import contextlib
 import json
-import os
 import random
 import resource
 import shutil
 import signal
+import socket
 import subprocess
-import sys
 import time
 from collections import Counter
 from collections.abc import Sequence
@@ -23,14 +22,13 @@
 from pathlib import Path
 from typing import Any
 
-import msgspec
-
 from .. import interface as i
 from ..holdings import words as w
 from ..model.promises import Event, broken
 from ..terms import wire_of
-from .callers import Caller, ask
-from .gateways import GatewayFailed, free_port
+from .callers import Address, Caller, ask, leading, statuses
+from .gateways import GatewayFailed, free_port, launch
+from .tills import HOST
 from .wires import Way, Wire
 
 FLEET = "faults"
@@ -62,13 +60,17 @@
 
     def __init__(self, fleet: Faults, name: str) -> None:
         self.fleet, self.name = fleet, name
-        self.port, self.folder = free_port_of_copies(), fleet.folder / name
+        self.port, self.folder = free_port(socket.SOCK_STREAM), fleet.folder / name
         self.process: subprocess.Popen[bytes] | None = None
         self.paused = False
         self.saved: Path | None = None
         self.program = fleet.program
         self.listen = 0
 
+    @property
+    def where(self) -> Address:
+        return HOST, self.port
+
     def write(self) -> None:
         peers = []
         for other in self.fleet.machines.values():
@@ -84,7 +86,7 @@
         )
         self.folder.mkdir(parents=True, exist_ok=True)
         (self.folder / "operators.sexp").write_text(text)
-        self.listen = free_port_of_copies()
+        self.listen = free_port(socket.SOCK_STREAM)
         config = {**self.fleet.config, "name": self.name, "listen": f"127.0.0.1:{self.listen}"}
         (self.folder / "config.json").write_text(json.dumps(config))
 
@@ -92,16 +94,11 @@
         if self.process is not None and self.process.poll() is None:
             return
         self.write()
-        clean = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
-        clean |= {
+        env = {
             "PROXY_CONFIG": str(self.folder / "config.json"),
             "PROXY_OPERATORS": str(self.folder / "operators.sexp"),
         }
-        with (self.folder / "log").open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "mapleshunt"], cwd=self.program, env=clean,
-                stdout=log, stderr=log, stdin=subprocess.DEVNULL,
-            )  # fmt: skip
+        self.process = launch(self.program, env, self.folder / "log")
         self.paused = False
 
     def kill(self, how: signal.Signals = signal.SIGKILL) -> None:
@@ -155,12 +152,6 @@
             shutil.copytree(self.saved, self.folder / "disk")
 
 
-def free_port_of_copies() -> int:
-    import socket
-
-    return free_port(socket.SOCK_STREAM)
-
-
 def plain_config() -> dict[str, Any]:
     """A gateway's configuration with nobody around it: only its copies are played with."""
     settings = i.Settings(
@@ -202,27 +193,17 @@
     # What is seen from outside
 
     async def statuses(self) -> dict[str, dict[str, Any]]:
-        async def one(machine: Machine) -> tuple[str, dict[str, Any] | None]:
-            if machine.process is None or machine.paused:
-                return machine.name, None
-            reply = await ask(machine.port, FLEET, "status")
-            return machine.name, msgspec.msgpack.decode(reply.data) if reply is not None else None
-
-        told = await asyncio.gather(*(one(machine) for machine in self.machines.values()))
-        return {name: status for name, status in told if status is not None}
+        up = {one.name: one.where for one in self.machines.values() if one.process and not one.paused}
+        told = await statuses(up, FLEET)
+        return {name: status for name, status in told.items() if status is not None}
 
     async def leader(self, but: str = "", patience: float = CALM) -> Machine:
         """Whoever leads the group, in the highest term that is told. Raises `GatewayFailed`."""
         end = time.monotonic() + patience
         while time.monotonic() < end:
-            leads = [
-                (group["term"], name)
-                for name, status in (await self.statuses()).items()
-                for group in status["groups"]
-                if group["role"] == "leader"
-            ]
-            if leads and max(leads)[1] != but:
-                return self.machines[max(leads)[1]]
+            leads = leading(await self.statuses(), 0)
+            if leads is not None and leads["leader"] != but:
+                return self.machines[leads["leader"]]
             await asyncio.sleep(0.03)
         raise GatewayFailed(f"nobody leads after {patience:g} s")
 
@@ -232,13 +213,10 @@
         while time.monotonic() < end:
             told = await self.statuses()
             present = {f"{name}/{status['incarnation']}" for name, status in told.items()}
-            groups = [group for status in told.values() for group in status["groups"]]
-            leads = [group for group in groups if group["role"] == "leader"]
-            if len(told) == len(self.machines) and leads:
-                best = max(leads, key=lambda group: group["term"])
-                known = {group["commit"] for group in groups if group["voters"]}
-                if set(best["voters"]) <= present and len(best["voters"]) == self.size and len(known) >= 1:
-                    return
+            leads = leading(told, 0)
+            voters = set(leads["voters"]) if leads is not None else set()
+            if len(told) == len(self.machines) and voters <= present and len(voters) == self.size:
+                return
             await asyncio.sleep(0.05)
         raise GatewayFailed(f"the group is not whole after {patience:g} s: {await self.statuses()}")
 
@@ -339,7 +317,7 @@
                     one.start()
                     await self.whole()
             case "transfer":
-                await ask(leader.port, FLEET, "transfer", 0)
+                await ask(leader.where, FLEET, "transfer", 0)
                 await self.more(calls)
 
     # Calls
@@ -393,15 +371,13 @@
 
     async def play(self, faults: int = 6, callers: int = 4, schedule: Sequence[str] = ()) -> Report:
         """So many faults as the seed draws them, or those of the schedule."""
-        begun, names = time.monotonic(), list(self.machines)
+        begun = time.monotonic()
         tasks: list[asyncio.Task[None]] = []
         some: list[Caller] = []
         try:
             await self.up()
-            ports = [machine.port for machine in self.machines.values()]
             for number in range(callers):
-                chance = random.Random(self.seed * 1000 + number)
-                some.append(Caller(f"s{number}", ports, names, FLEET, 0, self.history, self.now, chance))
+                some.append(self.caller(number))
                 tasks.append(asyncio.create_task(self.call(some[-1])))
             await self.more(20, CALM)
             for what in schedule or self.random.choices(FAULTS, k=faults):
@@ -429,6 +405,11 @@
         self.report.seconds = round(time.monotonic() - begun, 2)
         return self.report
 
+    def caller(self, number: int) -> Caller:
+        where = {name: machine.where for name, machine in self.machines.items()}
+        chance = random.Random(self.seed * 1000 + number)
+        return Caller(f"s{number}", where, FLEET, 0, self.history, self.now, chance)
+
     async def final(self, caller: Caller) -> dict[str, Any]:
         found: dict[str, Any] = {}
         for number in range(CUSTOMERS):
--- a/mapleshunt/rig/gateways.py
+++ b/mapleshunt/rig/gateways.py
@@ -38,6 +38,20 @@
     raise GatewayFailed("no port is free")
 
 
+def launch(program: Path, env: Mapping[str, str], log: Path) -> subprocess.Popen[bytes]:
+    """A gateway of that checkout; of the variables that it reads it has those of `env` alone."""
+    clean = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
+    with log.open("ab") as file:
+        return subprocess.Popen(
+            [sys.executable, "-m", "mapleshunt"],
+            cwd=program,
+            env={**clean, **env},
+            stdout=file,
+            stderr=file,
+            stdin=subprocess.DEVNULL,
+        )
+
+
 class GatewayProcess:
     """One gateway: `program` is the checkout it runs, `folder` where its configuration and log are."""
 
@@ -71,17 +85,7 @@
         }  # fmt: skip
         path = self.folder / f"gateway-{self.number}.json"
         path.write_text(json.dumps(config))
-        clean = {name: value for name, value in os.environ.items() if not name.startswith("PROXY_")}
-        clean |= {"PROXY_CONFIG": str(path), **self.env}
-        with self.log.open("ab") as log:
-            self.process = subprocess.Popen(
-                [sys.executable, "-m", "mapleshunt"],
-                cwd=self.program,
-                env=clean,
-                stdout=log,
-                stderr=log,
-                stdin=subprocess.DEVNULL,
-            )
+        self.process = launch(self.program, {"PROXY_CONFIG": str(path), **self.env}, self.log)
 
     async def ready(self) -> None:
         """Wait until it answers PING. Raises `GatewayFailed`."""
