--- a/benchmarks/copies_cost.py
+++ b/benchmarks/copies_cost.py
@@ -9,57 +9,82 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import statistics
 import tempfile
 import time
+from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
 from mapleshunt.copies import messages as m
 from mapleshunt.holdings import words as w
-from mapleshunt.rig.callers import Caller
-from mapleshunt.rig.faults import Faults, plain_config
+from mapleshunt.rig import faulty
+from mapleshunt.rig.callers import Address, Caller
+from mapleshunt.rig.faults import FLEET, Faults, plain_config
 from mapleshunt.store.disk import Disk
 
 AT_ONCE = 64  # sessions
+PROCESSES = 4  # that the sessions are in: one alone is slower than the gateways
 SECONDS = 4.0
 ROUNDS = 3
 
 
-def bare(folder: Path) -> float:
-    """Durable batches of one entry a second."""
+def bare(folder: Path, slow: float) -> float:
+    """Durable batches of one entry a second, each `slow` s slower than the disk is."""
     disk = Disk(folder, "bare", "a")
     disk.create(0, m.Snapshot(0, 0, 0.0, m.Members(("a/1",)), b""))
     begun, count = time.perf_counter(), 0
     while time.perf_counter() - begun < SECONDS / 2:
         count += 1
+        time.sleep(slow)
         disk.commit([(0, m.Write(count, 1, "a/1", (m.Entry(count, 1, 0.0, b"x" * 100),)))])
     rate = count / (time.perf_counter() - begun)
     disk.close()
     return rate
 
 
-class Cost(Faults):
-    async def count(self, caller: Caller, until: float, prefix: str) -> list[float]:
-        took: list[float] = []
-        await caller.do(w.Open())
-        while time.perf_counter() < until:
-            begun = time.perf_counter()
-            await caller.do(w.Count(f"{prefix}{caller.number}-{caller.name}", 1.0))
-            took.append(time.perf_counter() - begun)
-        return took
+def sessions(where: dict[str, Address], first: int, count: int) -> list[float]:
+    """So many sessions at once, in a process of their own: what each operation took, s."""
+
+    async def run() -> list[float]:
+        end = time.perf_counter() + SECONDS
+        some = [
+            Caller(f"s{n}", where, FLEET, 0, [], time.monotonic, random.Random(n))
+            for n in range(first, first + count)
+        ]
+        parts = await asyncio.gather(*(count_up(one, end, "c") for one in some))
+        return [one for part in parts for one in part]
+
+    return asyncio.run(run())
 
 
-async def rates(folder: Path) -> None:
+async def count_up(caller: Caller, until: float, prefix: str) -> list[float]:
+    took: list[float] = []
+    await caller.do(w.Open())
+    while time.perf_counter() < until:
+        begun = time.perf_counter()
+        await caller.do(w.Count(f"{prefix}{caller.number}-{caller.name}", 1.0))
+        took.append(time.perf_counter() - begun)
+    return took
+
+
+async def rates(folder: Path, pool: ProcessPoolExecutor, slow: float) -> None:
+    print(f"commits {1000 * slow:g} ms slower than this disk's")
     for turn in range(ROUNDS):
-        raw = bare(folder / f"bare{turn}")
-        played = Cost(folder / f"fleet{turn}", plain_config(), 3, 1, 3)
+        raw = bare(folder / f"bare{turn}", slow)
+        played = Faults(folder / f"fleet{turn}", plain_config(), 3, 1, 3)
         try:
             await played.up()
-            end = time.perf_counter() + SECONDS
-            some = [played.caller(number) for number in range(AT_ONCE)]
-            parts = await asyncio.gather(*(played.count(one, end, "c") for one in some))
+            for machine in played.machines.values():
+                machine.tell(faulty.Plan(slow=slow))
+            where = {name: machine.where for name, machine in played.machines.items()}
+            loop = asyncio.get_running_loop()
+            parts = await asyncio.gather(*(
+                loop.run_in_executor(pool, sessions, where, number * AT_ONCE, AT_ONCE // PROCESSES)
+                for number in range(PROCESSES)
+            ))  # fmt: skip
             took = [one for part in parts for one in part]
-            alone = await played.count(played.caller(999), time.perf_counter() + SECONDS / 2, "a")
+            alone = await count_up(played.caller(999), time.perf_counter() + SECONDS / 2, "a")
         finally:
             await played.down()
         rate = len(took) / SECONDS
@@ -70,7 +95,7 @@
 
 async def recovery(folder: Path) -> None:
     for customers in (100, 2000, 10_000):
-        played = Cost(folder / f"size{customers}", plain_config(), 4, 1, 3)
+        played = Faults(folder / f"size{customers}", plain_config(), 4, 1, 3)
         try:
             await played.up()
             some = [played.caller(number) for number in range(AT_ONCE)]
@@ -97,7 +122,9 @@
 
 def main() -> None:
     with tempfile.TemporaryDirectory(dir="/var/tmp") as text:
-        asyncio.run(rates(Path(text)))
+        with ProcessPoolExecutor(PROCESSES) as pool:
+            for slow in (0.0, 0.002):
+                asyncio.run(rates(Path(text) / f"slow{slow}", pool, slow))
         asyncio.run(recovery(Path(text)))
 
 
--- /dev/null
+++ b/mapleshunt/model/copies_fleet.py
@@ -0,0 +1,377 @@
+"""Days of a large fleet whose quotas are leased from copies: groups, disks and links in virtual time.
+
+What decides is the program's own: `copies.node`, `holdings.state`, `holdings.leases`, and the gateways'
+`Leased`. Here are their clock, disks and wires. A wire loses nothing but what is sent while it is cut; a lost
+machine is not replaced within a day. Times in ms, those of the nodes in s.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from .. import interface as i
+from ..control import Gateway
+from ..copies import messages as m
+from ..copies.node import Node, Timing
+from ..copies.placement import group_of, place
+from ..holdings import words as w
+from ..holdings.leases import Action, Ask, Leaser, Use
+from ..holdings.state import Holdings
+from ..report import tag_of
+from ..state import Customer
+from ..world.chance import Rng
+from ..world.faults import Fault, some
+from .copies import Disk
+from .day import Day, Scenario
+from .engine import Engine
+
+GROUPS, SIZE = 64, 3
+TIMING = Timing()
+DISK = 2.0  # ms until a write is durable
+LEASE_TERM = 2000.0  # as net/leases.py has it
+EVERY = 50.0  # between two looks at what leases are due
+AGAIN = 250.0  # after which a call is made again
+WAITS = {w.Lease: 2000.0, w.Return: 2000.0}
+SETTLE_WAITS = 60_000.0
+
+
+@dataclass(eq=False)
+class Copy:
+    """One group's copy at one gateway."""
+
+    group: int
+    gateway: int
+    name: m.Copy
+    disk: Disk
+    holdings: Holdings = field(default_factory=Holdings)
+    node: Node | None = None
+    life: int = 0
+    due: float = float("inf")
+
+
+@dataclass(eq=False)
+class Call:
+    """An operation of a gateway's session that is not answered yet."""
+
+    gateway: int
+    epoch: int
+    group: int
+    command: bytes
+    ask: Ask
+    until: float
+    over: bool = False
+
+
+class Leasing:
+    """A gateway's side of leases, for one life of it."""
+
+    def __init__(self, engine: CopiesEngine, number: int) -> None:
+        self.engine, self.number, self.epoch = engine, number, engine.epochs[number]
+        settings = engine.settings[number]
+        self.leaser = Leaser(LEASE_TERM, settings.largest, self._left, self._level, self._owed)
+        self.plans: dict[str, str] = {}
+        self.sessions: dict[int, int] = {}  # by group: how many operations it has numbered
+        self.tick()
+
+    def _held(self, customer: str) -> Customer | None:
+        gateway = self.engine.gateways[self.number]
+        return gateway.customers.get(tag_of(customer)) if isinstance(gateway, Gateway) else None
+
+    def _left(self, customer: str, lease: int) -> float:
+        one = self._held(customer)
+        return one.leases.pop(lease, (0.0, 0.0))[0] if one is not None else 0.0
+
+    def _level(self, customer: str, at: float) -> float:
+        one = self._held(customer)
+        return (one.leased(at) or 0.0) if one is not None else 0.0
+
+    def _owed(self, customer: str) -> float:
+        one = self._held(customer)
+        if one is None:
+            return 0.0
+        owed, one.owed = one.owed, 0.0
+        return owed
+
+    def alive(self) -> bool:
+        return self.engine.gateways[self.number] is not None and self.engine.epochs[self.number] == self.epoch
+
+    def asked(self, plan: i.Plan, customer: str, spread: int, units: float) -> None:
+        if plan.rate:
+            self.plans[customer] = plan.name
+            now = self.engine.now()
+            self.do(self.leaser.demand(now, customer, plan.rate, plan.burst, spread, units))
+
+    def tick(self) -> None:
+        if self.alive():
+            self.do(self.leaser.tick(self.engine.now()))
+            self.engine.at(self.engine.now() + EVERY, self.tick)
+
+    def do(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Use):
+                if (plan := self.plans.get(action.customer)) is not None:
+                    leased = i.Leased(action.customer, plan, action.lease, action.units, action.until)
+                    self.engine._feed(self.number, leased)
+            else:
+                self.propose(action)
+
+    def propose(self, ask: Ask) -> None:
+        group = group_of(ask.customer, GROUPS)
+        session = f"{self.number}.{self.epoch}.{group}"
+        if group not in self.sessions:
+            self.sessions[group] = 0
+            self._call(group, w.Command(session, 0, 0, w.Open()), ask, self.engine.now() + 1e9)
+        number = self.sessions[group] = self.sessions[group] + 1
+        waits = WAITS.get(type(ask.operation), SETTLE_WAITS)
+        low = max(0, number - 32)
+        self._call(group, w.Command(session, number, low, ask.operation), ask, self.engine.now() + waits)
+
+    def _call(self, group: int, command: w.Command, ask: Ask, until: float) -> None:
+        data = w.ENCODE(command)
+        self.engine.call(Call(self.number, self.epoch, group, data, ask, until, False), -1)
+
+    def come(self, call: Call, result: w.Result | None) -> None:
+        if not self.alive() or (isinstance(result, w.Done) and isinstance(call.ask.operation, w.Lease)):
+            return  # the second: a session was opened
+        self.do(self.leaser.answered(self.engine.now(), call.ask, result))
+
+
+class CopiesEngine(Engine):
+    """`leased`: quotas are leased from copies; else they are kept as without."""
+
+    def __init__(self, day: Day, leased: bool = True) -> None:
+        self.leased = leased
+        self.ready = False
+        self.frames = self.bytes = self.operations = self.elections = 0
+        self.copies: dict[tuple[int, int], Copy] = {}  # by group and gateway
+        self.holders: list[list[int]] = []
+        self.leaders: dict[int, int] = {}  # by group: who was last heard to lead
+        self.outbox: dict[tuple[int, int], list[tuple[int, m.Message]]] = {}
+        self.calls: dict[int, tuple[Call, int]] = {}
+        self.numbers = 0
+        self.leasing: dict[int, Leasing] = {}
+        super().__init__(day, Gateway)
+        if leased:
+            self._form()
+
+    # Copies
+
+    def _form(self) -> None:
+        fleet = {f"g{n}": f"z{n % 3}" for n in range(len(self.gateways))}
+        numbers = {name: number for number, name in enumerate(fleet)}
+        for group in range(GROUPS):
+            names = place(group, fleet, SIZE)
+            first = m.Snapshot(1, 1, 0.0, m.Members(tuple(f"{name}/1" for name in names)), b"")
+            self.holders.append([numbers[name] for name in names])
+            for name in names:
+                self.copies[group, numbers[name]] = Copy(
+                    group, numbers[name], f"{name}/1", Disk(m.Stored(first, 1))
+                )
+        self.ready = True
+        for number in range(len(self.gateways)):
+            self._start_copies(number)
+
+    def _start_copies(self, number: int) -> None:
+        if not self.ready:
+            return
+        for one in self.copies.values():
+            if one.gateway == number:
+                one.life += 1
+                one.disk.pending.clear()
+                one.holdings = Holdings()
+                one.holdings.thaw(one.disk.stored.snapshot.data)
+                seed = self.day.streams.integer("copies", one.group * 100_000 + number * 100 + one.life)
+                one.node = Node(one.name, one.disk.stored, TIMING, seed & 0xFFFFFFFF, self._s())
+                self._step(one, m.Tick())
+        self.leasing[number] = Leasing(self, number)
+
+    def _s(self) -> float:
+        return self.agenda.now / 1000
+
+    def _start_gateway(self, number: int) -> None:
+        super()._start_gateway(number)
+        self._start_copies(number)
+
+    def _kill(self, number: int) -> None:
+        super()._kill(number)
+        for one in self.copies.values():
+            if one.gateway == number and one.node is not None:
+                one.node, one.life, one.due = None, one.life + 1, float("inf")
+
+    def _step(self, one: Copy, event: m.Event) -> None:
+        if one.node is None:
+            return
+        for output in one.node.step(self._s(), event):
+            self._out(one, output)
+        wake = max(1000 * one.node.wake(), self.agenda.now + 1)
+        if wake < one.due - 1:
+            one.due = wake
+            self.agenda.at(wake, self._tick, one, one.life, wake)
+
+    def _tick(self, one: Copy, life: int, due: float) -> None:
+        if one.life != life or one.node is None or one.due != due:
+            return
+        one.due = float("inf")
+        wake = 1000 * one.node.wake()
+        if wake > self.agenda.now + 1:
+            one.due = wake
+            self.agenda.at(wake, self._tick, one, life, wake)
+        else:
+            self._step(one, m.Tick())
+
+    def _out(self, one: Copy, output: m.Output) -> None:
+        match output:
+            case m.Send(to, message):
+                self._post(one.gateway, int(m.gateway_of(to)[1:]), one.group, message)
+            case m.Write():
+                one.disk.pending.append(output)
+                self.agenda.at(self.agenda.now + DISK, self._written, one, output.number, one.life)
+            case m.Apply(entry, call):
+                result: w.Result = one.holdings.apply(entry.stamp, entry.data) if entry.data else w.Done()
+                self._reply(one, call, result, "")
+            case m.Answer(call, _, _, hint):
+                self._reply(one, call, None, hint)
+            case m.Install(snapshot):
+                one.holdings.thaw(snapshot.data)
+            case m.WantSnapshot(index):
+                data = msgspec.msgpack.encode(one.holdings.freeze())
+                self.agenda.at(self.agenda.now, self._snapped, one, one.life, index, data)
+            case m.Role(role, _, _, _) if role == "leader":
+                self.elections += 1
+
+    def _snapped(self, one: Copy, life: int, index: int, data: bytes) -> None:
+        if one.life == life:
+            self._step(one, m.Snapped(index, data))
+
+    def _written(self, one: Copy, number: int, life: int) -> None:
+        if one.life == life:
+            while one.disk.pending and one.disk.pending[0].number <= number:
+                one.disk.apply(one.disk.pending.pop(0))
+            self._step(one, m.Written(number))
+
+    # Wires
+
+    def _cut(self, a: int, b: int) -> bool:
+        return (a in self.network.split) != (b in self.network.split)
+
+    def _carry(self, a: int, b: int, what: Callable[..., None], *arguments: Any) -> None:
+        if a == b:
+            self.agenda.at(self.agenda.now, what, *arguments)
+        elif not self._cut(a, b) and self.gateways[b] is not None:
+            self.agenda.at(self.agenda.now + self.network.peer.next(), what, *arguments)
+
+    def _post(self, a: int, b: int, group: int, message: m.Message) -> None:
+        waiting = self.outbox.setdefault((a, b), [])
+        if not waiting:
+            self.agenda.at(self.agenda.now, self._flush, a, b)
+        waiting.append((group, message))
+
+    def _flush(self, a: int, b: int) -> None:
+        messages = self.outbox.pop((a, b))
+        self.frames += 1
+        self.bytes += 5 + sum(2 + len(msgspec.msgpack.encode(message)) for _, message in messages)
+        self._carry(a, b, self._brought, a, b, messages)
+
+    def _brought(self, a: int, b: int, messages: list[tuple[int, m.Message]]) -> None:
+        for group, message in messages:
+            one = self.copies.get((group, b))
+            if one is not None:
+                self._step(one, m.Heard(self.copies[group, a].name, message))
+
+    # Calls
+
+    def call(self, call: Call, hint: int) -> None:
+        """Make it, and again until it is answered or nobody waits any more."""
+        leasing = self.leasing.get(call.gateway)
+        if call.over or leasing is None or not leasing.alive() or self.epochs[call.gateway] != call.epoch:
+            return
+        if self.agenda.now >= call.until:
+            call.over = True
+            leasing.come(call, None)
+            return
+        to = hint
+        if to < 0:
+            to = self.leaders.get(call.group, -1)
+            if to < 0 or self.gateways[to] is None or self._cut(call.gateway, to):
+                here = [n for n in self.holders[call.group] if self.gateways[n] is not None]
+                to = self.day.streams.integer("asks", self.numbers) % len(here) if here else -1
+                to = here[to] if here else call.gateway
+        self.numbers += 1
+        self.frames += call.gateway != to
+        self.bytes += (len(call.command) + 16) * (call.gateway != to)
+        self._carry(call.gateway, to, self._asked, self.numbers, call, to)
+        self.agenda.at(self.agenda.now + AGAIN, self.call, call, -1)
+
+    def _asked(self, number: int, call: Call, at: int) -> None:
+        one = self.copies.get((call.group, at))
+        if one is None or one.node is None:
+            return
+        self.calls[number] = (call, at)
+        self._step(one, m.Propose(number, call.command))
+
+    def _reply(self, one: Copy, number: int | None, result: w.Result | None, hint: m.Copy) -> None:
+        if number is None or number not in self.calls:
+            return
+        call, _ = self.calls.pop(number)
+        self.frames += one.gateway != call.gateway
+        self.bytes += 24 * (one.gateway != call.gateway)
+        to = int(m.gateway_of(hint)[1:]) if hint else -1
+        self._carry(one.gateway, call.gateway, self._told_call, call, result, one.gateway, to)
+
+    def _told_call(self, call: Call, result: w.Result | None, by: int, hint: int) -> None:
+        if call.over:
+            return
+        if result is None:
+            self.leaders[call.group] = hint
+            if hint >= 0:
+                self.call(call, hint)
+            return
+        self.leaders[call.group] = by
+        call.over = True
+        self.operations += 1
+        if call.epoch == self.epochs[call.gateway]:
+            self.leasing[call.gateway].come(call, result)
+
+    def _feed(self, number: int, event: Any) -> None:
+        if isinstance(event, i.Request) and number in self.leasing:
+            plan = self.settings[number].plans[event.plan]
+            self.leasing[number].asked(plan, event.customer, event.spread, event.units)
+        super()._feed(number, event)
+
+
+# Days
+
+
+def trouble(what: str, part: float = 0.1) -> Callable[[Rng, Scenario], list[Fault]]:
+    """A payday burst, and a tenth of the gateways (one at least) restarted, lost for good or cut off then.
+
+    `what`: none, restart, lost, or cut and its length in seconds, as in cut6.
+    """
+
+    def troubles(rng: Rng, scenario: Scenario) -> list[Fault]:
+        length = 1000 * scenario.seconds
+        who, begin = some(rng, scenario.gateways, part), 0.3 * length
+        burst = Fault(0.2 * length, "burst", 0.6 * length, size=3.0, plan="standard")
+        match what:
+            case "none":
+                return [burst]
+            case "restart":
+                return [burst, Fault(begin, "restart", 600.0, who)]
+            case "lost":
+                return [burst, Fault(begin, "restart", 1e9, who)]
+        return [burst, Fault(begin, "cut", 1000 * float(what.removeprefix("cut")), who)]
+
+    return troubles
+
+
+def scenario(what: str, gateways: int, seconds: float = 24.0) -> Scenario:
+    """Traffic that is thin on each gateway, as on the full fleet, and servers enough: quotas refuse."""
+    rate = min(10.0 * gateways, 300.0)
+    return Scenario(
+        f"copies-{what}", "quotas with and without copies", (0.5, 0.5), trouble(what), gateways=gateways,
+        servers=max(8, round(rate / 8)), seconds=seconds, rate=rate,
+    )  # fmt: skip
--- a/mapleshunt/model/host.py
+++ b/mapleshunt/model/host.py
@@ -228,6 +228,10 @@
         self.counter.split(frozenset(fault.who))
         self.at(fault.end, self.counter.split, frozenset())
 
+    def _on_cut(self, fault: Fault) -> None:
+        self.network.split = frozenset(fault.who)
+        self.at(fault.end, setattr, self.network, "split", frozenset())
+
     def _on_loss(self, fault: Fault) -> None:
         before, self.network.loss = self.network.loss, fault.size
         self.at(fault.end, setattr, self.network, "loss", before)
--- a/mapleshunt/rig/faults.py
+++ b/mapleshunt/rig/faults.py
@@ -43,6 +43,7 @@
     "reset", "wipe_follower", "wipe_leader", "old_disk", "kill_all", "transfer", "term", "disk_full",
     "start_again", "die", "die", "slow_disk", "clocks",
 )  # fmt: skip
+ROOM = 128 * 1024  # bytes that a full disk has left
 CALM = 20.0  # s within which all has to be answered once nothing is broken any more
 
 
@@ -138,9 +139,11 @@
         self.paused = False
 
     def fill_disk(self) -> None:
-        """From now on no file of this process can grow past what its write-ahead log takes."""
+        """From now on no file of this process can grow past a little more than its log has: SQLite's
+        write-ahead log, whose space is used anew each thousand pages, soon wants more.
+        """
         if self.process is not None:
-            size = (self.folder / "disk" / "copies.db-wal").stat().st_size
+            size = (self.folder / "log").stat().st_size + ROOM
             _, most = resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE)
             resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (size, most))
 
--- a/mapleshunt/rig/gateways.py
+++ b/mapleshunt/rig/gateways.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import json
 import os
 import random
@@ -10,9 +11,10 @@
 import socket
 import subprocess
 import sys
+import tempfile
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
+from typing import Any, TextIO
 
 from .tills import HOST
 
@@ -26,14 +28,32 @@
 PORTS = range(20000, 32000)  # below those that the system gives to outgoing connections
 
 
+_drawn: set[int] = set()  # by this process, whose own locks do not keep it away
+_locks: list[TextIO] = []
+
+
+def _mine(port: int) -> bool:
+    """Take it from all other rigs, for as long as this process lives: what is drawn is bound only later."""
+    if not _locks:
+        _locks.append((Path(tempfile.gettempdir()) / "mapleshunt-rig-ports").open("a"))
+    try:
+        fcntl.lockf(_locks[0], fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except OSError:
+        return False
+    return True
+
+
 def free_port(kind: socket.SocketKind) -> int:
-    """A port that nobody holds now. Raises `GatewayFailed`."""
-    for port in random.sample(PORTS, 100):
+    """A port that nobody holds now, and no rig draws again. Raises `GatewayFailed`."""
+    for port in random.sample(PORTS, 1000):
+        if port in _drawn or not _mine(port):
+            continue
         with socket.socket(socket.AF_INET, kind) as probe:
             try:
                 probe.bind((HOST, port))
             except OSError:
                 continue
+            _drawn.add(port)
             return port
     raise GatewayFailed("no port is free")
 
--- a/mapleshunt/world/faults.py
+++ b/mapleshunt/world/faults.py
@@ -20,6 +20,7 @@
     "counter_silent",
     "counter_slow",  # `size` times slower
     "counter_split",  # gateways `who` see a half of their own for `lasts`
+    "cut",  # gateways `who` and the others hear nothing of each other for `lasts`
     "loss",  # messages between gateways are lost at the rate `size`
 ]
 
