Let requests wait for their customer's lease, and make leases last longer

Excluded: elections (64, one a group), the copies' delay (3 ms). At fault: net/leases.py fed a request to the decisions without waiting; holdings/leases.py paused a customer whole and gave back each lease by an operation of its own.

--- a/mapleshunt/holdings/leases.py
+++ b/mapleshunt/holdings/leases.py
@@ -1,8 +1,12 @@
 """A holder's side of leases: how many units are drawn for whom and when they go back. No I/O, no clock.
 
 `demand`, `answered` and `tick` take what happened at `now` (ms, a clock that never goes back) and return what
-to do. A lease may be spent here until `term` after it was asked for, less what clocks may drift apart; the
-log's time counts it for longer. It goes back a part of its term before that, with what was not spent.
+to do. A lease may be spent here until its term after it was asked for, less what clocks may drift apart; the
+log's time counts it for longer. It goes back a part of its term before that, with what was not spent: along
+with the next one that is asked for, or by itself if none is.
+
+Each operation costs all copies a write, so a lease is for as long as its units are likely to last, `term` to
+`longest`: the less is asked for, the longer.
 """
 
 from __future__ import annotations
@@ -15,9 +19,11 @@
 
 DRIFT = 0.01  # part of a term by which two clocks may differ in their rates
 BACK = 0.25  # part of a term before its end at which a lease goes back
-AHEAD = 0.5  # part of a term's demand, below which more is drawn
-IDLE = 2.0  # terms without demand after which a customer is forgotten
-NONE_LEFT = 0.1  # part of a term for which a store that had nothing is not asked again, at least
+SPENT = 0.01  # part of a lease that is as good as none
+AHEAD_FOR = 1.5  # terms for whose demand is drawn: more lies idle here while other gateways refuse
+AHEAD = 0.25  # part of what is drawn at a time, below which more is
+IDLE = 2.0  # longest terms without demand after which a customer is forgotten
+NONE_LEFT = 0.02  # part of a term for which a store that had nothing is not asked again, at least
 
 
 @dataclass(slots=True, frozen=True)
@@ -55,21 +61,26 @@
     last: float = 0.0  # when something was last wanted
     asking: bool = False
     pause: float = -math.inf  # not asked again before
-    leases: dict[int, tuple[float, float]] = field(default_factory=dict)  # units and end here, by number
+    told: float = math.inf  # what the store had when it last had too little
+    told_at: float = 0.0
+    # Units, end here and when it goes back, by number.
+    leases: dict[int, tuple[float, float, float]] = field(default_factory=dict)
+    back: list[tuple[int, float]] = field(default_factory=list)  # ended here: to be told with what was used
+    back_by: float = math.inf
 
 
 class Leaser:
-    """`left(customer, lease)` takes a lease away from the decisions and tells what of it was not spent;
-    `level(customer, at)` is what they may still spend of leases in force at that time; `owed(customer)` what
-    they spent without a lease since it was last asked.
+    """`rest(customer, lease)` is what of a lease is not spent; `left` tells that and takes the lease away
+    from the decisions; `level(customer, at)` is what they may still spend of leases in force at that time;
+    `owed(customer)` what they spent without a lease since it was last asked.
     """
 
     def __init__(
-        self, term: float, largest: float, left: Callable[[str, int], float],
-        level: Callable[[str, float], float], owed: Callable[[str], float],
+        self, term: float, longest: float, rest: Callable[[str, int], float],
+        left: Callable[[str, int], float], level: Callable[[str, float], float], owed: Callable[[str], float],
     ) -> None:  # fmt: skip
-        self.term, self.largest = term, largest
-        self.left, self.level, self.owed = left, level, owed
+        self.term, self.longest = term, longest
+        self.rest, self.left, self.level, self.owed = rest, left, level, owed
         self.customers: dict[str, Customer] = {}
 
     def demand(
@@ -78,25 +89,49 @@
         """A request of that customer wants units; `spread` gateways share what it may use."""
         if not rate:
             return []
-        part = max(self.largest, burst / max(1, min(spread, int(burst / max(self.largest, 1e-9)) or 1)))
+        part = burst / max(1, spread)
         one = self.customers.setdefault(customer, Customer(rate, burst, part, at=now))
-        one.rate, one.burst, one.part, one.last = rate, burst, min(burst, part), now
-        one.demand = one.demand * math.exp((one.at - now) / self.term) + units / self.term
+        one.rate, one.burst, one.part, one.last = rate, burst, part, now
+        one.demand = one.demand * math.exp((one.at - now) / self.longest) + units / self.longest
         one.at = now
         return self._draw(now, customer, one, units)
 
+    def more(self, now: float, customer: str, units: float) -> list[Action]:
+        """A request that has waited finds too little: it may ask on."""
+        one = self.customers.get(customer)
+        return self._draw(now, customer, one, units) if one is not None else []
+
+    def waits(self, now: float, customer: str, units: float) -> bool:
+        """Is the answer on its way that says whether so many units may be used?"""
+        one = self.customers.get(customer)
+        return one is not None and one.asking and self.level(customer, now) < units
+
     def _draw(self, now: float, customer: str, one: Customer, least: float) -> list[Action]:
-        """Ask for a term's demand where less than a part of that is left."""
-        if one.asking or now < one.pause:
+        """Ask for what is likely to be wanted in the time `AHEAD_FOR`, where little of that is left."""
+        there = one.told + one.rate / 1000 * (now - one.told_at)  # of the store, at most
+        if one.asking or now < one.pause or there < least:
             return []
-        want = min(one.part, max(self.largest, least, one.demand * self.term))
+        want = max(least, min(one.part, one.demand * AHEAD_FOR * self.term))
+        lasts = 2 * want / one.demand if one.demand > 0 else self.longest  # twice: it may come slower
+        term = max(self.term, min(self.longest, lasts))
         level = self.level(customer, now + BACK * self.term)  # what ends soon is as good as gone
-        if level >= min(one.part, max(least, AHEAD * want)):
+        if level >= max(least, AHEAD * want):
             return []
         one.asking = True
-        ask = w.Lease(customer, one.rate, one.burst, want, min(least, want), self.term)
+        # What is too little goes back: a store earns nothing behind units that are out, spent or not.
+        for number in [number for number in one.leases if self.rest(customer, number) < least]:
+            self._end(customer, one, number, math.inf)
+        ask = w.Lease(customer, one.rate, one.burst, want, min(least, want), term, tuple(one.back))
+        one.back, one.back_by = [], math.inf
         return [Ask(customer, ask, now)]
 
+    def _end(self, customer: str, one: Customer, number: int, back_by: float) -> None:
+        """A lease is over here; it goes back with what is asked for next, or alone by then."""
+        units, _, _ = one.leases.pop(number)
+        rest = max(0.0, min(units, self.left(customer, number)))
+        one.back.append((number, units - rest))
+        one.back_by = min(one.back_by, back_by)
+
     def answered(self, now: float, ask: Ask, result: w.Result | None) -> list[Action]:
         """`None`: nobody could tell in time; it may have been done, and runs out by itself."""
         one = self.customers.get(ask.customer)
@@ -105,8 +140,9 @@
         one.asking = False
         match result:
             case w.Granted(number, units):
-                until = ask.asked + self.term * (1 - DRIFT)
-                one.leases[number] = (units, until)
+                term = ask.operation.term
+                until = ask.asked + term * (1 - DRIFT)
+                one.leases[number] = (units, until, until - BACK * self.term)
                 use: list[Action] = [
                     Use(ask.customer, number, units, until - BACK * self.term),
                     Use(ask.customer, 0, 0.0, now + self.term),
@@ -115,22 +151,28 @@
                     use.append(Ask(ask.customer, w.Settle(ask.customer, owed), now))
                 return use
             case w.Denied(why, level):
-                short = max(0.0, ask.operation.least - level) / one.rate * 1000 if why == "store" else 0.0
-                one.pause = now + min(self.term, max(NONE_LEFT * self.term, short))
+                one.pause = now + NONE_LEFT * self.term
+                if why == "store":  # what is left may do for a smaller request, and fills up
+                    one.told, one.told_at = level, now
                 return [Use(ask.customer, 0, 0.0, now + self.term)]
         one.pause = now + NONE_LEFT * self.term
         return []
 
     def tick(self, now: float) -> list[Action]:
-        """Give back what is near its end or idle, and draw anew for whoever goes on. Call often in a term."""
+        """Give back what is near its end, with what is drawn anew or by itself. Call often in a term."""
         actions: list[Action] = []
         for customer, one in list(self.customers.items()):
-            for number, (units, until) in list(one.leases.items()):
-                idle = now - one.last > self.term / 2
-                if now >= until - BACK * self.term or idle:
-                    del one.leases[number]
-                    rest = max(0.0, min(units, self.left(customer, number)))
-                    actions.append(Ask(customer, w.Return(customer, number, units - rest), now))
-            if not one.leases and not one.asking and now - one.last > IDLE * self.term:
+            for number, (units, until, goes_back) in list(one.leases.items()):
+                if now >= goes_back:
+                    self._end(customer, one, number, until - BACK * self.term / 2)
+                elif self.rest(customer, number) < SPENT * units:
+                    self._end(customer, one, number, now + self.term / 2)
+            if one.back and now - one.last < self.term:  # it goes on: what comes next takes this along
+                actions += self._draw(now, customer, one, 1.0)
+            if now >= one.back_by:
+                actions += [Ask(customer, w.Return(customer, *back), now) for back in one.back]
+                one.back, one.back_by = [], math.inf
+            done = not one.leases and not one.asking and not one.back
+            if done and now - one.last > IDLE * self.longest:
                 del self.customers[customer]
         return actions
--- a/mapleshunt/holdings/state.py
+++ b/mapleshunt/holdings/state.py
@@ -104,7 +104,9 @@
             command = w.DECODE(data)
         except msgspec.DecodeError:
             return w.Denied("order")
-        figures = (one for one in msgspec.structs.astuple(command.operation) if isinstance(one, float))
+        figures = [one for one in msgspec.structs.astuple(command.operation) if isinstance(one, float)]
+        if isinstance(command.operation, w.Lease):
+            figures += [used for _, used in command.operation.back]
         if not all(math.isfinite(one) for one in figures):
             return w.Denied("order")
         if isinstance(command.operation, w.Open):
@@ -176,6 +178,8 @@
         good = ask.units > 0 and ask.least > 0 and ask.term > 0 and ask.rate >= 0 and ask.burst > 0
         if not good or len(ask.customer) > MOST_VALUE:
             return w.Denied("order")
+        for number, used in ask.back[:MOST_LEASES]:
+            self._return(stamp, w.Return(ask.customer, number, used))
         one = self.store(stamp, ask.customer)
         if one is None:
             if not self._room(stamp):
--- a/mapleshunt/holdings/words.py
+++ b/mapleshunt/holdings/words.py
@@ -18,7 +18,9 @@
 
 
 class Lease(msgspec.Struct, array_like=True, tag=1, frozen=True):
-    """Units of a customer's store for `term` ms of the log's time: what there is, `least` at least."""
+    """Units of a customer's store for `term` ms of the log's time: what there is, `least` at least. Before
+    that the leases in `back` end, each with what was used of it, as by `Return`.
+    """
 
     customer: str
     rate: float  # of the store, units a second
@@ -26,6 +28,7 @@
     units: float
     least: float
     term: float
+    back: tuple[tuple[int, float], ...] = ()
 
 
 class Return(msgspec.Struct, array_like=True, tag=2, frozen=True):
--- a/mapleshunt/model/copies_fleet.py
+++ b/mapleshunt/model/copies_fleet.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import msgspec
@@ -32,10 +32,10 @@
 GROUPS, SIZE = 64, 3
 TIMING = Timing()
 DISK = 2.0  # ms until a write is durable
-LEASE_TERM = 2000.0  # as net/leases.py has it
+LEASE_TERM, LONGEST, HOLD = 2000.0, 10_000.0, 100.0  # as net/leases.py has them
 EVERY = 50.0  # between two looks at what leases are due
 AGAIN = 250.0  # after which a call is made again
-WAITS = {w.Lease: 2000.0, w.Return: 2000.0}
+WAITS = {w.Lease: 1000.0, w.Return: 2000.0}
 SETTLE_WAITS = 60_000.0
 
 
@@ -71,16 +71,22 @@
 
     def __init__(self, engine: CopiesEngine, number: int) -> None:
         self.engine, self.number, self.epoch = engine, number, engine.epochs[number]
-        settings = engine.settings[number]
-        self.leaser = Leaser(LEASE_TERM, settings.largest, self._left, self._level, self._owed)
+        self.leaser = Leaser(LEASE_TERM, LONGEST, self._rest, self._left, self._level, self._owed)
+        self.waiting: dict[str, list[tuple[float, i.Request, float]]] = {}  # until when, what, since when
+        self.sound = True
         self.plans: dict[str, str] = {}
         self.sessions: dict[int, int] = {}  # by group: how many operations it has numbered
+        self.opening: dict[int, list[Ask]] = {}  # by group: what waits for its session
         self.tick()
 
     def _held(self, customer: str) -> Customer | None:
         gateway = self.engine.gateways[self.number]
         return gateway.customers.get(tag_of(customer)) if isinstance(gateway, Gateway) else None
 
+    def _rest(self, customer: str, lease: int) -> float:
+        one = self._held(customer)
+        return one.leases.get(lease, (0.0, 0.0))[0] if one is not None else 0.0
+
     def _left(self, customer: str, lease: int) -> float:
         one = self._held(customer)
         return one.leases.pop(lease, (0.0, 0.0))[0] if one is not None else 0.0
@@ -99,15 +105,38 @@
     def alive(self) -> bool:
         return self.engine.gateways[self.number] is not None and self.engine.epochs[self.number] == self.epoch
 
-    def asked(self, plan: i.Plan, customer: str, spread: int, units: float) -> None:
-        if plan.rate:
-            self.plans[customer] = plan.name
-            now = self.engine.now()
-            self.do(self.leaser.demand(now, customer, plan.rate, plan.burst, spread, units))
+    def asked(self, plan: i.Plan, request: i.Request) -> bool:
+        """Does it wait for its customer's lease?"""
+        customer, now = request.customer, self.engine.now()
+        if not plan.rate:
+            return False
+        self.plans[customer] = plan.name
+        self.do(self.leaser.demand(now, customer, plan.rate, plan.burst, request.spread, request.units))
+        there = customer in self.waiting or self.leaser.waits(now, customer, request.units)
+        if there and self.sound and request.patience > 2 * HOLD:
+            self.waiting.setdefault(customer, []).append((now + HOLD, request, now))
+            return True
+        return False
+
+    def resume(self, customer: str) -> None:
+        now, waiting = self.engine.now(), self.waiting.pop(customer, [])
+        while waiting:
+            end, request, since = waiting[0]
+            if now < end and self._level(customer, now) < request.units:
+                self.do(self.leaser.more(now, customer, request.units))
+                if self.leaser.waits(now, customer, request.units):
+                    self.waiting[customer] = waiting + self.waiting.pop(customer, [])
+                    return
+            del waiting[0]
+            if request.ref in self.engine.open[self.number]:
+                self.engine.let_in(self.number, replace(request, patience=request.patience - now + since))
 
     def tick(self) -> None:
         if self.alive():
             self.do(self.leaser.tick(self.engine.now()))
+            now = self.engine.now()
+            for customer in [one for one, waiting in self.waiting.items() if waiting[0][0] <= now]:
+                self.resume(customer)
             self.engine.at(self.engine.now() + EVERY, self.tick)
 
     def do(self, actions: list[Action]) -> None:
@@ -124,7 +153,11 @@
         session = f"{self.number}.{self.epoch}.{group}"
         if group not in self.sessions:
             self.sessions[group] = 0
+            self.opening[group] = []
             self._call(group, w.Command(session, 0, 0, w.Open()), ask, self.engine.now() + 1e9)
+        if group in self.opening:
+            self.opening[group].append(ask)
+            return
         number = self.sessions[group] = self.sessions[group] + 1
         waits = WAITS.get(type(ask.operation), SETTLE_WAITS)
         low = max(0, number - 32)
@@ -135,9 +168,16 @@
         self.engine.call(Call(self.number, self.epoch, group, data, ask, until, False), -1)
 
     def come(self, call: Call, result: w.Result | None) -> None:
-        if not self.alive() or (isinstance(result, w.Done) and isinstance(call.ask.operation, w.Lease)):
-            return  # the second: a session was opened
+        if not self.alive():
+            return
+        if call.group in self.opening:
+            for ask in self.opening.pop(call.group):
+                self.propose(ask)
+            return
+        self.sound = result is not None
         self.do(self.leaser.answered(self.engine.now(), call.ask, result))
+        if isinstance(call.ask.operation, w.Lease):
+            self.resume(call.ask.customer)
 
 
 class CopiesEngine(Engine):
@@ -339,9 +379,14 @@
     def _feed(self, number: int, event: Any) -> None:
         if isinstance(event, i.Request) and number in self.leasing:
             plan = self.settings[number].plans[event.plan]
-            self.leasing[number].asked(plan, event.customer, event.spread, event.units)
+            if self.leasing[number].asked(plan, event):
+                return
         super()._feed(number, event)
 
+    def let_in(self, number: int, request: i.Request) -> None:
+        """A request that has waited for its customer's lease."""
+        super()._feed(number, request)
+
 
 # Days
 
--- a/mapleshunt/net/driver.py
+++ b/mapleshunt/net/driver.py
@@ -7,6 +7,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 
 from .. import interface as i
 from ..control import Gateway
@@ -47,7 +48,8 @@
         self.busy = False
         self.seen: Callable[[RequestContext], None] | None = None  # told of requests that are over, if any is
         self.sent: Callable[[i.Request], None] | None = None  # told of requests' first tries, if any is
-        self.asked: Callable[[i.Request], None] | None = None  # told of requests before the decisions are
+        # Told of requests before the decisions are: does one wait until `resume`?
+        self.asked: Callable[[i.Request], bool] | None = None
         self._carry_out(self.gateway.start())
 
     # Events
@@ -56,9 +58,13 @@
         self.open[context.ref] = context
         left = context.due - GUARD - self.now()
         context.guard = self.loop.call_later(left / 1000, self._guard, context)
-        if self.asked is not None:
-            self.asked(context.request)
-        self.feed(context.request)
+        if self.asked is None or not self.asked(context.request):
+            self.feed(context.request)
+
+    def resume(self, ref: int) -> None:
+        """What it waited for has come, or is not waited for any longer."""
+        if (context := self.open.get(ref)) is not None:
+            self.feed(replace(context.request, patience=max(0.0, context.due - self.now())))
 
     def gone(self, context: RequestContext) -> None:
         """The client has left: nothing is owed to it any more."""
--- a/mapleshunt/net/leases.py
+++ b/mapleshunt/net/leases.py
@@ -19,10 +19,11 @@
 from .counters import Counters
 from .driver import Driver
 
-TERM = 2000.0  # ms of a lease
+TERM, LONGEST = 2000.0, 10_000.0  # ms of a lease
+HOLD = 100.0  # ms that a request waits at most for a lease that is being asked for
 EVERY = 50  # ms between two looks at what is due
 AGAIN = 0.25  # s after which a call is made again, through whoever leads then
-PATIENCE = {w.Lease: 1.0, w.Return: 1.0, w.Settle: 30.0}  # terms after which nobody waits for an answer
+PATIENCE = {w.Lease: 0.5, w.Return: 1.0, w.Settle: 30.0}  # terms after which nobody waits for an answer
 MOST_OPEN = 32  # operations of a session that wait; more than that are not begun
 
 
@@ -104,8 +105,9 @@
 class Leases:
     def __init__(self, copies: Copies, driver: Driver, counters: Counters) -> None:
         self.copies, self.driver, self.counters = copies, driver, counters
-        settings = driver.settings
-        self.leaser = Leaser(TERM, settings.largest, self._left, self._level, self._owed)
+        self.leaser = Leaser(TERM, LONGEST, self._rest, self._left, self._level, self._owed)
+        # By customer, in their order: until when, which request, and what it needs.
+        self.waiting: dict[str, list[tuple[float, int, float]]] = {}
         self.plans: dict[str, str] = {}  # of customers that are leased for
         self.sessions: dict[int, Session] = {}
         self.sound = True  # some group answers
@@ -123,6 +125,10 @@
     def _held(self, customer: str) -> Customer | None:
         return self.driver.gateway.customers.get(tag_of(customer))
 
+    def _rest(self, customer: str, lease: int) -> float:
+        one = self._held(customer)
+        return one.leases.get(lease, (0.0, 0.0))[0] if one is not None else 0.0
+
     def _left(self, customer: str, lease: int) -> float:
         one = self._held(customer)
         return one.leases.pop(lease, (0.0, 0.0))[0] if one is not None else 0.0
@@ -140,7 +146,8 @@
 
     # Requests, answers, time
 
-    def _asked(self, request: i.Request) -> None:
+    def _asked(self, request: i.Request) -> bool:
+        """Draw what it needs; it waits while the copies answer and its answer is on the way."""
         plan = self.driver.settings.plans[request.plan]
         if plan.rate and (len(self.plans) < 100_000 or request.customer in self.plans):
             self.plans[request.customer] = request.plan
@@ -149,11 +156,34 @@
                 now, request.customer, plan.rate, burst, request.spread, request.units
             )
             self._do(actions)
+            if self.sound and request.patience > 2 * HOLD:
+                waiting = self.waiting.get(request.customer)
+                if waiting is not None or self.leaser.waits(now, request.customer, request.units):
+                    one = (now + HOLD, request.ref, request.units)
+                    self.waiting.setdefault(request.customer, []).append(one)
+                    return True
+        return False
+
+    def _resume(self, customer: str) -> None:
+        """Let those go on that waited for this customer's lease, but for those worth asking again."""
+        now = self.driver.now()
+        waiting = self.waiting.pop(customer, [])
+        while waiting:
+            end, ref, units = waiting[0]
+            if now < end and self._level(customer, now) < units:
+                self._do(self.leaser.more(now, customer, units))
+                if self.leaser.waits(now, customer, units):
+                    self.waiting[customer] = waiting + self.waiting.pop(customer, [])
+                    return
+            del waiting[0]
+            self.driver.resume(ref)
 
     def come(self, ask: Ask, result: w.Result | None) -> None:
         self._say_if_changed(result is not None)
         self.counters.add("leases_denied", int(isinstance(result, w.Denied)))
         self._do(self.leaser.answered(self.driver.now(), ask, result))
+        if isinstance(ask.operation, w.Lease):
+            self._resume(ask.customer)
 
     def _say_if_changed(self, sound: bool) -> None:
         if sound != self.sound:
@@ -182,6 +212,9 @@
     def _tick(self) -> None:
         try:
             self._do(self.leaser.tick(self.driver.now()))
+            now = self.driver.now()
+            for customer in [one for one, waiting in self.waiting.items() if waiting[0][0] <= now]:
+                self._resume(customer)
             for customer in [one for one in self.plans if one not in self.leaser.customers]:
                 del self.plans[customer]
             now = asyncio.get_running_loop().time()
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -16,7 +16,7 @@
 
 from mapleshunt import Refuse, Send
 from mapleshunt.holdings import words as w
-from mapleshunt.holdings.leases import Ask, Leaser, Use
+from mapleshunt.holdings.leases import Action, Ask, Leaser, Use
 from mapleshunt.holdings.state import Holdings
 from mapleshunt.interface import Leased
 from mapleshunt.report import tag_of
@@ -73,12 +73,15 @@
         self.name, self.world = f"h{number}/1", world
         self.leases: dict[int, list[float]] = {}
         self.number = 0
-        self.leaser = Leaser(TERM, 2.0, self.left, self.level, lambda _: 0.0)
+        self.leaser = Leaser(TERM, 4 * TERM, self.rest, self.left, self.level, lambda _: 0.0)
         world.state.apply(world.log, w.ENCODE(w.Command(self.name, 0, 0, w.Open())))
 
     def left(self, _: str, lease: int) -> float:
         return self.leases.pop(lease, [0.0])[0]
 
+    def rest(self, _: str, lease: int) -> float:
+        return self.leases.get(lease, [0.0])[0]
+
     def level(self, _: str, at: float) -> float:
         return sum(units for units, until in self.leases.values() if until > at)
 
@@ -152,20 +155,67 @@
 TestHolders.settings = settings(derandomize=True, max_examples=80, stateful_step_count=40, deadline=None)
 
 
+def holder(left: dict[int, float]) -> Leaser:
+    return Leaser(
+        TERM, 10 * TERM, lambda _, lease: left.get(lease, 0.0), lambda _, lease: left.pop(lease, 0.0),
+        lambda *_: sum(left.values()), lambda _: 0.0,
+    )  # fmt: skip
+
+
+def asked(actions: list[Action]) -> Ask:
+    (one,) = actions
+    assert isinstance(one, Ask)
+    return one
+
+
 def test_a_holder_draws_ahead_gives_back_and_forgets() -> None:
     left: dict[int, float] = {}
-    one = Leaser(TERM, 1.0, lambda _, lease: left.pop(lease), lambda *_: sum(left.values()), lambda _: 0.0)
-    (ask,) = one.demand(0.0, "c", RATE, BURST, 3, 1.0)
+    one = holder(left)
+    ask = asked(one.demand(0.0, "c", RATE, BURST, 3, 1.0))
     assert isinstance(ask, Ask) and not one.demand(1.0, "c", RATE, BURST, 3, 1.0)  # one at a time
+    assert one.waits(1.0, "c", 1.0)
     use, none = one.answered(20.0, ask, w.Granted(7, 2.0))
-    assert isinstance(use, Use) and use.until < TERM and none == Use("c", 0, 0.0, 20.0 + TERM)
+    assert isinstance(ask.operation, w.Lease) and ask.operation.term > TERM  # little is asked for: for longer
+    assert isinstance(use, Use) and use.until < ask.operation.term and none == Use("c", 0, 0.0, 20.0 + TERM)
     left[7] = 1.5
-    (back,) = one.tick(use.until + 1)
-    assert isinstance(back, Ask) and back.operation == w.Return("c", 7, 0.5)
-    one.tick(10 * TERM)
+    assert not one.waits(30.0, "c", 1.0) and not one.tick(use.until - 10)
+    assert not one.tick(use.until + 10)  # it may go with what is asked for next
+    assert asked(one.tick(use.until + TERM / 4)).operation == w.Return("c", 7, 0.5)
+    one.tick(100 * TERM)
     assert not one.customers
 
 
+def test_what_is_left_over_goes_back_with_what_is_asked_for_next() -> None:
+    left = {7: 0.0, 8: 0.25}
+    one = holder(left)
+    ask = asked(one.demand(0.0, "c", RATE, BURST, 3, 1.0))
+    one.answered(5.0, ask, w.Granted(7, 2.0))
+    ask = asked(one.demand(6.0, "c", RATE, BURST, 3, 1.0))
+    one.answered(9.0, ask, w.Granted(8, 1.0))
+    ask = asked(one.demand(10.0, "c", RATE, BURST, 3, 1.0))
+    assert isinstance(ask.operation, w.Lease) and ask.operation.back == ((8, 0.75),) and not left
+    state = Holdings()
+    operations: list[w.Operation] = [
+        w.Open(), w.Lease("c", RATE, BURST, BURST, 1.0, 1e9), w.Lease("c", RATE, BURST, 9.0, 1.0, 1e9),
+        w.Lease("c", RATE, BURST, 9.0, 1.0, 1e9, ((1, 50.0), (1, 0.0), (5, 0.0))),
+    ]  # fmt: skip
+    for number, operation in enumerate(operations):
+        result = state.apply(0.0, w.ENCODE(w.Command("h/1", number, 0, operation)))
+        assert isinstance(result, w.Denied) == (number == 2)
+    assert result == w.Granted(2, 9.0)  # 10 of 60 were not spent, and went back once
+
+
+def test_one_that_was_denied_asks_again_for_what_the_store_may_have_by_then() -> None:
+    one = holder({})
+    ask = asked(one.demand(0.0, "c", RATE, BURST, 3, 5.0))
+    one.answered(10.0, ask, w.Denied("store", 2.0))
+    assert not one.demand(100.0, "c", RATE, BURST, 3, 5.0)  # 2.9 by then
+    ask = asked(one.demand(101.0, "c", RATE, BURST, 3, 1.0))
+    assert isinstance(ask.operation, w.Lease) and ask.operation.least == 1.0
+    one.answered(110.0, ask, w.Denied("store", 0.0))
+    assert not one.more(150.0, "c", 1.0) and one.more(211.0, "c", 1.0)
+
+
 # Real gateways
 
 
