Settle who goes out for work next: requests, budgets, grants with a fence, without I/O

Every gateway works out the same grants from the same log; the way not taken is a lock in one store, whose holder may sleep and which knows nothing of zones, groups or losses. A machine acts on a grant only while its own clock shows that it holds, and takes back what ran out.

--- /dev/null
+++ b/mapleshunt/model/maintenance.py
@@ -0,0 +1,300 @@
+"""Machines taken out for work, walked through: every interleaving for a few machines to a stated depth, and
+long random walks. What decides is `maintenance.state` and `maintenance.holder`; here are machines that crash,
+sleep, are cut off and are worked on, and what must hold whatever order things come in.
+"""
+
+from __future__ import annotations
+
+import copy
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from ..maintenance import words as w
+from ..maintenance.holder import Act, Holder, Sees
+from ..maintenance.state import Refused, Works
+
+NAMES = ("a", "b", "c")
+ZONES = {"a": "x", "b": "y", "c": "y"}
+DRAIN = 10.0  # s
+BUDGET = w.Budget(most=1, zone=1, load=2.0, pause=0.0, drain=DRAIN, failures=9)
+REQUESTS = (w.Ask("r1", ("a", "b"), "disks", "op", 1000.0), w.Ask("r2", ("c",), "memory", "op", 1000.0))
+PASS = 6.0  # s that pass at a time: a grant ends within the second
+
+
+class Broken(Exception):
+    """A rule did not hold; the text tells which."""
+
+
+@dataclass
+class Machine:
+    up: bool = True
+    worked_on: bool = False
+    drained: bool = False
+    holder: Holder = field(default_factory=Holder)
+    view: w.Place | None = None  # what it last read
+
+
+class World:
+    def __init__(self, works: type[Works] = Works, holder: type[Holder] = Holder) -> None:
+        self.works, self.twin, self.make = works(), works(), holder  # the twin: another gateway's copy
+        self.now = 0.0  # s, the log's and, here, everybody's
+        self.machines = {name: Machine(holder=holder()) for name in NAMES}
+        self.hidden = ""  # a machine that the coordinator does not see
+        self.asked = 0
+        self.went: dict[tuple[str, str], int] = {}
+        self.apply(w.SetBudget(BUDGET, "op"))
+
+    def apply(self, operation: w.Operation) -> bool:
+        done = []
+        for number, one in enumerate((self.works, self.twin)):
+            try:
+                self.on_copy(number, one, operation)
+                done.append(True)
+            except Refused:
+                done.append(False)
+        if done[0] != done[1] or self.works.freeze() != self.twin.freeze():
+            raise Broken("two gateways came to different states from the same log")
+        return done[0]
+
+    def on_copy(self, number: int, works: Works, operation: w.Operation) -> None:
+        works.apply(1000 * self.now, operation)
+
+    # Moves
+
+    def moves(self) -> Iterator[tuple[str, ...]]:
+        if self.asked < len(REQUESTS):
+            yield ("ask",)
+        yield ("see",)
+        yield ("pass",)
+        for name, one in self.machines.items():
+            if one.up:
+                yield "look", name
+                if one.view is not None:
+                    yield "wake", name  # it goes on with what it knew
+                yield "crash", name
+                if self.hidden != name:
+                    yield "hide", name
+            elif not one.worked_on:
+                yield "start", name
+            place = self.works.place_of(name)
+            if place is not None and place.state == "safe" and one.up:
+                yield "work", name
+            if one.worked_on:
+                yield "finish", name
+        if self.asked:
+            yield ("again",)
+        if self.hidden:
+            yield ("show",)
+
+    def move(self, what: str, name: str = "") -> None:
+        one = self.machines.get(name, Machine())
+        match what:
+            case "ask":
+                self.apply(REQUESTS[self.asked])
+                self.asked += 1
+            case "again":  # nobody answered the first time
+                self.apply(REQUESTS[self.asked - 1])
+            case "see":
+                self.see()
+            case "pass":
+                self.now += PASS
+            case "look":
+                one.view = self.works.place_of(name)
+                one.holder.told(self.now, 1000 * self.now, one.view)
+                self.act(name, one)
+            case "wake":
+                self.act(name, one)
+            case "crash":
+                one.up = one.drained = False
+                one.holder, one.view = self.make(), None
+            case "start":
+                one.up = True
+            case "hide":
+                self.hidden = name
+            case "show":
+                self.hidden = ""
+            case "work":
+                place = self.works.place_of(name)
+                if place is not None and self.apply(w.Told(name, place.fence, "out")):
+                    self.went[place.request, name] = self.went.get((place.request, name), 0) + 1
+                    one.up, one.worked_on, one.drained = False, True, False
+                    one.holder, one.view = self.make(), None
+            case "finish":
+                place = self.works.place_of(name)
+                one.up, one.worked_on = True, False
+                if place is not None:
+                    self.apply(w.Told(name, place.fence, "returning"))
+        self.check()
+
+    def see(self) -> None:
+        sights = tuple(
+            w.Sight(name, ZONES[name], one.up and name != self.hidden) for name, one in self.machines.items()
+        )
+        sound = tuple(one.name for one in sights if one.here)
+        before = {key for key, one in self.works.places.items() if one.state == "granted"}
+        self.apply(w.Seen(self.now, sights, (w.Group(NAMES, sound),)))
+        for key, place in self.works.places.items():
+            if place.state == "granted" and key not in before:
+                lost = [one.name for one in sights if not one.here and one.name != place.machine]
+                if len(lost) + 1 > BUDGET.most:
+                    raise Broken(f"{place.machine} was granted though {' and '.join(lost)} is lost")
+
+    def act(self, name: str, one: Machine) -> None:
+        place = one.view
+        acts = one.holder.step(self.now, place, False, Sees(0, 0, 0, 0, one.drained))
+        for act in acts:
+            if act.how == "drain":
+                self.granted(name)
+                one.drained = True
+            elif act.how == "resume":
+                one.drained = False
+            elif act.how == "tell":
+                self.apply(w.Told(name, act.fence, act.what, act.why))
+
+    # What must hold
+
+    def granted(self, name: str) -> None:
+        place = self.works.place_of(name)
+        if place is None or place.state not in ("granted", "draining", "safe", "recalled"):
+            raise Broken(f"{name} drains without a grant: {place and place.state}")
+        if 1000 * self.now > place.until:
+            raise Broken(f"{name} drains under a grant that has run out")
+
+    def check(self) -> None:
+        planned = [name for name, one in self.machines.items() if one.drained or one.worked_on]
+        if len(planned) > BUDGET.most:
+            raise Broken(f"{' and '.join(planned)} are out by plan, {BUDGET.most} may be")
+        for key, count in self.went.items():
+            if count > 1 or self.works.places[key].state in ("queued", "granted", "draining", "safe"):
+                raise Broken(f"{key[1]} was out for {key[0]}, and is to go again")
+        for place in self.works.places.values():
+            if place.state == "done" and self.machines[place.machine].worked_on:
+                raise Broken(f"{place.machine} is done while it is worked on")
+            if place.state == "done" and not any(step.state == "out" for step in place.story):
+                raise Broken(f"{place.machine} is done and never was out")
+        wanted = sum(len(one.machines) for one in REQUESTS[: self.asked])
+        if len(self.works.requests) != self.asked or len(self.works.places) != wanted:
+            raise Broken("a request was taken twice, or lost")
+
+    def key(self) -> bytes:
+        """States alike in all that decides what comes; stories and times before now do not."""
+        places = tuple(
+            (one.request, one.machine, one.state, one.fence > 0, one.ends,
+             one.until > 0 and one.until - 1000 * self.now) for one in self.works.places.values()
+        )  # fmt: skip
+        machines = tuple(
+            (one.up, one.worked_on, one.drained, one.holder.fence > 0, one.holder.drained,
+             one.holder.deadline > self.now and one.holder.deadline - self.now,
+             one.view and (one.view.state, one.view.fence == getattr(self.works.place_of(name), "fence", -1)))
+            for name, one in self.machines.items()
+        )  # fmt: skip
+        return repr((places, machines, self.hidden, self.asked, self.went, self.works.failures)).encode()
+
+
+def walk(depth: int, works: type[Works] = Works, holder: type[Holder] = Holder) -> tuple[int, str]:
+    """All interleavings to that depth: how many states there are, and what broke, with the moves to it."""
+    first = World(works, holder)
+    seen = {first.key()}
+    layer: list[tuple[World, tuple[tuple[str, ...], ...]]] = [(first, ())]
+    for _ in range(depth):
+        further: list[tuple[World, tuple[tuple[str, ...], ...]]] = []
+        for world, path in layer:
+            for move in list(world.moves()):
+                then = copy.deepcopy(world)
+                try:
+                    then.move(*move)
+                except Broken as broken:
+                    return len(seen), f"{broken}: {' '.join('.'.join(one) for one in (*path, move))}"
+                if (key := then.key()) not in seen:
+                    seen.add(key)
+                    further.append((then, (*path, move)))
+        layer = further
+    return len(seen), ""
+
+
+def stroll(
+    seed: int, moves: int, works: type[Works] = Works, holder: type[Holder] = Holder
+) -> tuple[World, str]:
+    """One long way by chance, then calm: all has to come to its end."""
+    chance, world = random.Random(seed), World(works, holder)
+    try:
+        for _ in range(moves):
+            world.move(*chance.choice(list(world.moves())))
+        for _ in range(40):
+            world.hidden = ""
+            for what in ("start", "finish", "see", "look", "look", "work", "finish", "see"):
+                for move in [one for one in world.moves() if one[0] == what]:
+                    world.move(*move)
+            if world.asked < len(REQUESTS):
+                world.move("ask")
+        if left := world.works.open():
+            raise Broken(f"not done when all was calm: {[(one.machine, one.state) for one in left]}")
+    except Broken as broken:
+        return world, str(broken)
+    return world, ""
+
+
+# Planted faults
+
+
+class ExpiredGrantUsed(Holder):
+    """A machine goes on under a grant that has run out by its own clock."""
+
+    def told(self, asked: float, stamp: float, place: w.Place | None) -> None:
+        super().told(asked, stamp, place)
+        self.deadline = float("inf")
+
+
+class GrantsItself(Holder):
+    """With nobody to ask it takes its place in the order for a grant."""
+
+    def step(self, now: float, place: w.Place | None, long: bool, sees: Sees) -> list[Act]:
+        if place is not None and place.state == "queued":
+            self.drained = True
+            return [Act("drain")]
+        return super().step(now, place, long, sees)
+
+
+class ForgetsUnplanned(Works):
+    """The budget counts what it took out, and nothing else; and so do majorities."""
+
+    def _out(self, sights: dict[str, w.Sight]) -> set[str]:
+        return {one.machine for one in self.open() if one.state in ("granted", "draining", "safe", "out")}
+
+
+class ReturnTakenForGranted(Works):
+    """What was worked on for as long as was expected is taken to be back."""
+
+    def _run_out(self, now: float, sights: dict[str, w.Sight]) -> None:
+        super()._run_out(now, sights)
+        for place in self.open():
+            if place.state == "out" and now > place.since:
+                self._enter(now, place, "done", fence=0)
+
+
+class AskedTwice(Works):
+    """A request that comes again begins anew."""
+
+    def _ask(self, now: float, ask: w.Ask) -> None:
+        if ask.id in self.requests:
+            for machine in ask.machines:
+                self.places[ask.id, machine] = w.Place(machine, ask.id, since=now)
+        super()._ask(now, ask)
+
+
+class OrderByOwnClock(Works):
+    """Who has waited longest is told by each gateway's own clock."""
+
+    count = 0
+
+    def apply(self, now: float, operation: w.Operation) -> float:
+        OrderByOwnClock.count += 1
+        return super().apply(now + OrderByOwnClock.count, operation)
+
+
+PLANTS: dict[str, tuple[type[Works], type[Holder]]] = {
+    "ExpiredGrantUsed": (Works, ExpiredGrantUsed), "GrantsItself": (Works, GrantsItself),
+    "ForgetsUnplanned": (ForgetsUnplanned, Holder), "AskedTwice": (AskedTwice, Holder),
+    "ReturnTakenForGranted": (ReturnTakenForGranted, Holder), "OrderByOwnClock": (OrderByOwnClock, Holder),
+}  # fmt: skip
--- /dev/null
+++ b/tests/test_maintenance.py
@@ -0,0 +1,238 @@
+"""Machines taken out for work: what is settled, walked through for a few machines, and each rule."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from mapleshunt.maintenance import words as w
+from mapleshunt.maintenance.holder import Act, Holder, Sees
+from mapleshunt.maintenance.state import AGING, Refused, Works, contradiction
+from mapleshunt.model.maintenance import PLANTS, stroll, walk
+
+DEPTH = {"AskedTwice": 7, "ReturnTakenForGranted": 8, "ForgetsUnplanned": 7}  # by which each is found; else 5
+
+
+def test_every_interleaving_to_a_depth_keeps_the_rules() -> None:
+    states, broken = walk(7)
+    assert not broken and states > 1500  # 14510 at depth 12
+
+
+@pytest.mark.parametrize("first", range(0, 60, 20))
+def test_long_ways_keep_the_rules_and_come_to_their_end(first: int) -> None:
+    for seed in range(first, first + 20):
+        world, broken = stroll(seed, 80)
+        assert not broken, (seed, broken)
+        assert {one.state for one in world.works.places.values()} == {"done"}
+
+
+@pytest.mark.parametrize("plant", PLANTS)
+def test_a_planted_fault_is_found(plant: str) -> None:
+    _, broken = walk(DEPTH.get(plant, 5), *PLANTS[plant])
+    assert broken
+
+
+NAMES = [f"g{n}" for n in range(6)]
+
+
+class Fleet:
+    """Six machines in two zones, and the log."""
+
+    def __init__(self, **budget: Any) -> None:
+        self.works, self.now, self.wall = Works(), 0.0, 1000.0
+        self.load, self.down, self.sound = 0.1, set[str](), set(NAMES)
+        self.versions: dict[str, str] = {}
+        plain = {"most": 2, "pause": 0.0, "drain": 10.0}
+        self.do(w.SetBudget(w.Budget(**{**plain, **budget}), "op"))
+
+    def do(self, operation: w.Operation) -> None:
+        self.works.apply(1000 * self.now, operation)
+
+    def ask(self, id: str, *machines: str, **more: Any) -> None:
+        self.do(w.Ask(id, machines, "disks", "op", **more))
+
+    def see(self) -> list[str]:
+        """What the coordinator sees: who is at work after that."""
+        sights = tuple(
+            w.Sight(name, f"z{n % 2}", name not in self.down, 0, self.load, self.versions.get(name, ""))
+            for n, name in enumerate(NAMES)
+        )
+        voters = ("g0", "g1", "g2")
+        up = tuple(one for one in voters if one in self.sound and one not in self.down)
+        self.do(w.Seen(self.wall, sights, (w.Group(voters, up),)))
+        return sorted(one.machine for one in self.works.open() if one.state in w.AT_WORK)
+
+    def tell(self, machine: str, *what: str) -> None:
+        for one in what:
+            place = self.works.place_of(machine)
+            assert place is not None
+            self.do(w.Told(machine, place.fence, one))
+
+    def out(self, machine: str) -> None:
+        self.tell(machine, "draining", "safe", "out")
+        self.down.add(machine)
+
+    def back(self, machine: str) -> None:
+        self.down.discard(machine)
+        self.tell(machine, "returning")
+
+
+@pytest.mark.parametrize(
+    ("budget", "said"),
+    [
+        ({"most": 0}, "nobody ever goes"), ({"zone": 0}, "nobody ever goes"), ({"zone": 3}, "more than most"),
+        ({"load": 0.1, "slack": 0.1}, "not above slack"), ({"drain": 0.0}, "drain must be 1 s"),
+        ({"pause": float("nan")}, "pause must be 0"), ({"closed": ((2.0, 1.0),)}, "ends before it begins"),
+    ],
+)  # fmt: skip
+def test_a_budget_that_lets_nobody_go_is_told_when_it_is_set(budget: dict[str, Any], said: str) -> None:
+    whole = w.Budget(**{"most": 2, **budget})
+    assert said in contradiction(whole)
+    with pytest.raises(Refused, match=said):
+        Works().apply(0.0, w.SetBudget(whole, "op"))
+
+
+def test_a_batch_goes_by_zones_in_turn_and_leaves_a_majority_of_each_group() -> None:
+    fleet = Fleet(most=3, zone=2)
+    fleet.ask("all", *NAMES)
+    assert fleet.see() == ["g0"]  # g1 and g2 are the rest of its group: whoever is next waits for them
+    assert "majority" in fleet.works.blocked
+    fleet.out("g0")
+    fleet.back("g0")
+    assert fleet.see() == ["g1"]  # g2 is next: nobody overtakes it
+    went = ["g0", "g1"]
+    for _ in range(20):
+        for place in list(fleet.works.open()):
+            if place.state == "granted":
+                fleet.out(place.machine)
+                fleet.back(place.machine)
+                went += [place.machine] if place.machine not in went else []
+        fleet.see()
+    assert sorted(went) == NAMES and not fleet.works.open()
+
+
+def test_unplanned_losses_use_the_budget_up_and_call_back_who_drains() -> None:
+    fleet = Fleet()
+    fleet.ask("r", "g3", "g4")
+    assert fleet.see() == ["g3", "g4"]
+    fleet.tell("g3", "draining")
+    fleet.down.add("g5")
+    fleet.see()
+    assert [one.state for one in fleet.works.open()] == ["draining", "recalled"]  # the last granted
+    fleet.tell("g4", "undone")
+    assert fleet.see() == ["g3"] and "2 of 2 are out: g3, g5" in fleet.works.blocked
+    fleet.down.clear()
+    assert fleet.see() == ["g3", "g4"]
+
+
+def test_a_grant_that_ran_out_counts_until_it_is_taken_back_and_its_number_is_dead() -> None:
+    fleet = Fleet(most=1)
+    fleet.ask("r", "g3", "g4")
+    fleet.see()
+    fence = fleet.works.fence
+    fleet.tell("g3", "draining")
+    fleet.now += 11
+    with pytest.raises(Refused, match="run out"):
+        fleet.tell("g3", "safe")
+    assert fleet.see() == ["g3"] and fleet.works.open()[0].state == "recalled"
+    fleet.tell("g3", "undone")
+    assert fleet.see() == ["g3"] and fleet.works.fence == fence + 1
+    with pytest.raises(Refused, match="fence"):
+        fleet.do(w.Told("g3", fence, "safe"))
+
+
+def test_what_forbids_a_grant_is_told_and_force_passes_all_but_a_majority() -> None:
+    fleet = Fleet(load=0.5, slack=0.2, closed=((2000.0, 3000.0),), pause=5.0)
+    fleet.ask("r", "g3", earliest=1500.0)
+    for wall, said in (1000.0, "earliest"), (2500.0, "closed window"), (3000.0, ""):
+        fleet.wall = wall
+        fleet.load = 0.1 if said else 0.45
+        assert bool(fleet.see()) is not bool(said) or "loaded" in fleet.works.blocked
+        assert said in fleet.works.blocked
+    fleet.load = 0.3  # below the limit, and not yet by the slack
+    assert not fleet.see() and "loaded to 0.36 of 0.30" in fleet.works.blocked
+    fleet.load = 0.2
+    assert fleet.see() == ["g3"]
+    fleet.out("g3")
+    fleet.back("g3")
+    fleet.ask("s", "g4")
+    assert not fleet.see() and "pause" in fleet.works.blocked
+    fleet.do(w.Hold(True, "op", "payday"))
+    fleet.now += 6
+    assert not fleet.see() and "held: payday (op)" in fleet.works.blocked
+    fleet.do(w.Force("g4", "op", "it burns"))
+    assert fleet.see() == ["g4"]
+    fleet.ask("t", "g0")
+    fleet.sound = {"g0", "g1"}
+    fleet.do(w.Force("g0", "op", "now"))
+    assert fleet.see() == ["g4"] and "majority" in fleet.works.blocked
+
+
+def test_failures_stop_the_roll_until_operators_resume() -> None:
+    fleet = Fleet(most=1, failures=1)
+    fleet.ask("roll", "g3", "g4", version="2")
+    fleet.see()
+    fleet.out("g3")
+    fleet.back("g3")
+    fleet.versions["g3"] = "1"
+    assert not fleet.see() and "1 machines failed" in fleet.works.blocked
+    story = fleet.works.places["roll", "g3"].story
+    assert story[-1].why == "it is back with version 1, not 2"
+    fleet.do(w.Hold(False, "op"))
+    assert fleet.see() == ["g4"]
+
+
+def test_urgency_is_worth_some_waiting_and_no_more() -> None:
+    fleet = Fleet(most=1)
+    fleet.ask("old", "g3")
+    fleet.do(w.Hold(True, "op"))
+    fleet.now += AGING / 1000 + 1
+    fleet.ask("urgent", "g4", urgency=1)
+    fleet.do(w.Hold(False, "op"))
+    assert fleet.see() == ["g3"]
+
+
+def test_requests_are_taken_once_and_withdrawn_wherever_they_are() -> None:
+    fleet = Fleet(most=1)
+    fleet.ask("r", "g3", "g4")
+    fleet.ask("r", "g3", "g4")
+    with pytest.raises(Refused, match="g4 is asked for already, by r"):
+        fleet.ask("s", "g4")
+    fleet.see()
+    fleet.tell("g3", "draining")
+    fleet.do(w.Withdraw("r", "op"))
+    assert [fleet.works.places["r", one].state for one in ("g3", "g4")] == ["recalled", "withdrawn"]
+    fleet.tell("g3", "undone")
+    assert not fleet.works.open()
+    again = Works()
+    data = msgspec.msgpack.encode(fleet.works.freeze())
+    again.thaw(msgspec.msgpack.decode(data, type=w.Frozen))
+    assert again.freeze() == fleet.works.freeze()
+
+
+EMPTY, BUSY = Sees(0, 0, 0, 0, True), Sees(2, 1, 1, 1, True)
+
+
+def test_a_machine_empties_itself_under_its_grant_and_takes_back_what_ran_out() -> None:
+    holder = Holder()
+    place = w.Place("g3", "r", "granted", fence=4, until=10_000.0)
+    holder.told(100.0, 0.0, place)
+    acts = holder.step(100.1, place, False, Sees(2, 1, 1, 1, False))
+    assert acts == [Act("drain"), Act("hand_over"), Act("tell", "draining", "", 4)]
+    place = msgspec.structs.replace(place, state="draining")
+    assert holder.step(101.0, place, False, BUSY) == [
+        Act("hand_over", "", "requests 2, clients 1, groups led 1")
+    ]
+    slept = Holder()
+    slept.told(100.0, 0.0, place)
+    slept.step(100.1, place, True, BUSY)
+    assert slept.step(109.95, place, True, EMPTY) == [  # SIGSTOP until then: it may be another's turn
+        Act("resume"), Act("take_back"), Act("tell", "undone", "too late by its own clock", 4)
+    ]
+    assert holder.step(102.0, place, False, EMPTY) == [Act("tell", "safe", "", 4)]
+    recalled = msgspec.structs.replace(place, state="recalled")
+    assert holder.step(103.0, recalled, False, EMPTY) == [Act("resume")]
+    assert holder.step(103.1, recalled, False, EMPTY) == []  # told once it takes clients again
+    assert holder.step(103.2, recalled, False, Sees(0, 0, 0, 0, False))[0].what == "undone"
