Take machines out for work on real gateways, and let overspent leases come off the store

Need: the pure core had no host. Now (maintenance ...) switches it on: entries of group 0's log, the coordinator where that is led, each gateway's own grant with the drain of the door, and mapleshunt maintenance request, plan, list, show, status, hold, resume, withdraw, force, await-safe, return. The way not taken: a coordinator process of its own.

Seen on real rolls: "the grant ran out" again and again, the machine's own line maintenance_place state=granted 2 to 4 s late. Excluded: log and disk (entries every 0.5 s).

Five schedules of faults on five real gateways: each machine out once, one at a time.

--- a/deploy/operators.example.sexp
+++ b/deploy/operators.example.sexp
@@ -22,3 +22,12 @@
 ;   (peer (name "n0") (address "10.0.0.4:7100") (zone "a"))
 ;   (peer (name "n1") (address "10.0.0.5:7100") (zone "b"))
 ;   (peer (name "n2") (address "10.0.0.6:7100") (zone "c")))
+
+; Take machines out for work one after another; needs (copies ...). See docs/maintenance.md.
+;
+; (maintenance
+;   (most 2)
+;   (zone 1)
+;   (pause-s 30)
+;   (drain-s 60)
+;   (closed (begin 1798675200) (end 1798761600)))
--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -34,6 +34,7 @@
     from .net.copies import Copies
     from .net.door import Door, Reply
     from .net.leases import Leases
+    from .net.maintenance import Maintenance
     from .net.succession import Succession
     from .record.writer import Recorder
 
@@ -82,6 +83,7 @@
         self.succession: Succession | None = None
         self.copies: Copies | None = None
         self.leases: Leases | None = None
+        self.maintenance: Maintenance | None = None
         self.last_try_to_hear = -math.inf
 
     def share(self, processes: int) -> None:
@@ -222,15 +224,30 @@
             case "GET", "/_ready":
                 return Reply(200, "yes\n") if self.life.takes() else Reply(503, "no\n")
             case "POST", "/_lameduck/on":
-                self._told("drained", self.life.drain(self.time()))
+                self.drain()
                 return Reply(200, "drained\n") if self.life.phase == "drained" else Reply(503, "no\n")
             case "POST", "/_lameduck/off":
-                self._told("back_to_work", self.life.resume(self.time()))
+                self.work_again()
                 return Reply(200, "working\n") if self.life.takes() else Reply(503, "no\n")
             case "GET", "/_vars":
                 return Reply(200, self.figures())
         return Reply(404, "no such call\n")
 
+    def drain(self) -> None:
+        self._told("drained", self.life.drain(self.time()))
+
+    def work_again(self) -> None:
+        self._told("back_to_work", self.life.resume(self.time()))
+
+    def held(self) -> tuple[int, int, bool]:
+        """Requests that are owed an answer, client connections, and whether it takes no clients."""
+        return len(self.driver.open), len(self.service.connections), not self.life.takes()
+
+    def load(self) -> float:
+        """The part of this gateway's slots at its servers that tries hold."""
+        now = self.driver.gateway.figures(self.driver.now())
+        return now["tries_out"] / max(1.0, now["bound"] * now["servers_ready"])
+
     def _told(self, event: str, changed: bool) -> None:
         if changed:
             log.say(event, open=len(self.driver.open), client_connections=len(self.service.connections))
@@ -294,6 +311,11 @@
                 self.copies = Copies(chosen.copies, self.config.name, self.counters, self.config.seed)
                 if chosen.copies.lease:
                     self.leases = Leases(self.copies, self.driver, self.counters)
+            if chosen.maintenance is not None and self.copies is not None:
+                from .net.maintenance import Hands, Maintenance
+
+                hands = Hands(self.drain, self.work_again, self.held, self.load)
+                self.maintenance = Maintenance(self.copies, chosen.maintenance, hands, self.counters)
         except (ValueError, OSError) as error:
             raise ConfigError(str(error)) from None
         except ModuleNotFoundError as error:
@@ -326,6 +348,20 @@
             self.revision = None  # another agent may count otherwise
         self.config = config
         self.watch(config.discovery)
+        if self.maintenance is not None:
+            self._reload_budget(self.maintenance)
+
+    def _reload_budget(self, maintenance: Maintenance) -> None:
+        from .settings import operators
+
+        try:
+            chosen = operators.load(Path(os.environ["PROXY_OPERATORS"]))
+        except ValueError as error:
+            self.counters.add("reloads_failed")
+            log.say("reload_failed", why=error)
+            return
+        if chosen.maintenance is not None:
+            maintenance.reload(chosen.maintenance)
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -345,6 +381,8 @@
             self.copies.start()
         if self.leases is not None:
             self.leases.start()
+        if self.maintenance is not None:
+            self.maintenance.start()
         self.watch(self.config.discovery)
         # Only now: what comes in while a start uses up the processor stands unread in the kernel's queue for
         # as long, and its patience would be counted from when it was read.
@@ -362,7 +400,8 @@
         for sweep in [*sweeps, self.tending]:
             sweep.stop()
         self.group.close()
-        for part in (self.peers, self.leases, self.copies, self.recorder, self.door, self.succession):
+        parts = self.peers, self.maintenance, self.leases, self.copies, self.recorder, self.door
+        for part in (*parts, self.succession):
             if part is not None:
                 part.close()
         self.print_counters()
--- a/mapleshunt/cli/__init__.py
+++ b/mapleshunt/cli/__init__.py
@@ -28,10 +28,10 @@
 
 
 def _commands() -> None:
-    from . import copies, model, record, rig
+    from . import copies, maintenance, model, record, rig
 
     every = (model.model, rig.rig, rig.demo, record.record, record.settings, copies.copies, copies.holdings)
-    for command in every:
+    for command in (*every, maintenance.maintenance):
         root.add_command(command)
 
 
--- a/mapleshunt/copies/node.py
+++ b/mapleshunt/copies/node.py
@@ -287,6 +287,10 @@
         self._track(now)
         self._append(now, Entry(self.last_index() + 1, self.term, self._stamp(now)))
 
+    def stamp(self, now: float) -> float:
+        """The log's time now, as far as this copy can tell; exact at whoever leads."""
+        return self._stamp(now) if self.role == "leader" else self.last_stamp()
+
     def _stamp(self, now: float) -> float:
         """The log's time: that of the entry it began with, and what passed here since. A clock that is ahead
         or was set cannot hurry it, and while nobody leads it stands: nothing runs out too early.
--- a/mapleshunt/holdings/leases.py
+++ b/mapleshunt/holdings/leases.py
@@ -128,8 +128,8 @@
     def _end(self, customer: str, one: Customer, number: int, back_by: float) -> None:
         """A lease is over here; it goes back with what is asked for next, or alone by then."""
         units, _, _ = one.leases.pop(number)
-        rest = max(0.0, min(units, self.left(customer, number)))
-        one.back.append((number, units - rest))
+        # Below 0 where true costs were above what was guessed: that comes off the store too.
+        one.back.append((number, units - min(units, self.left(customer, number))))
         one.back_by = min(one.back_by, back_by)
 
     def answered(self, now: float, ask: Ask, result: w.Result | None) -> list[Action]:
--- a/mapleshunt/holdings/state.py
+++ b/mapleshunt/holdings/state.py
@@ -16,6 +16,8 @@
 import msgspec
 from immutables import Map
 
+from ..maintenance import words as works
+from ..maintenance.state import Refused, Works
 from . import words as w
 
 MOST_STORES = 200_000
@@ -66,6 +68,7 @@
     stores: list[tuple[str, StoreState]]
     records: list[tuple[str, Record]]
     sessions: list[tuple[str, Session]]
+    works: works.Frozen | None = None
 
 
 VERSION = 1
@@ -77,6 +80,7 @@
         self.records: Map[str, Record] = Map()
         self.sessions: Map[str, Session] = Map()
         self.leases = 0  # numbered from 1
+        self.works = Works()
 
     # Snapshots
 
@@ -84,8 +88,9 @@
         """A view that later entries do not change; encode it wherever there is time."""
         stores, records, sessions = self.stores, self.records, self.sessions
         return Frozen(
-            VERSION, self.leases, sorted(stores.items()), sorted(records.items()), sorted(sessions.items())
-        )
+            VERSION, self.leases, sorted(stores.items()), sorted(records.items()), sorted(sessions.items()),
+            self.works.freeze(),
+        )  # fmt: skip
 
     def thaw(self, data: bytes) -> None:
         """Take a snapshot's state. Raises ValueError for one that is not whole or of another version."""
@@ -95,6 +100,9 @@
             raise ValueError(f"a snapshot of version {frozen.version}")
         self.stores, self.records = Map(frozen.stores), Map(frozen.records)
         self.sessions, self.leases = Map(frozen.sessions), frozen.leases
+        self.works = Works()
+        if frozen.works is not None:
+            self.works.thaw(frozen.works)
 
     # Entries
 
@@ -157,7 +165,12 @@
                 return self._release(stamp, customer, name)
             case w.Put():
                 return self._put(stamp, session, operation)
-        return w.Denied("order")
+            case w.Open():
+                return w.Denied("order")
+        try:
+            return w.Done(self.works.apply(stamp, operation))
+        except Refused as refused:
+            return w.Denied(str(refused))
 
     # Stores
 
@@ -202,10 +215,10 @@
         found = dict(one.held).get(back.lease) if one is not None else None
         if one is None or found is None:  # it has run out, or was returned
             return w.Denied("lease")
-        rest = max(0.0, found.units - max(0.0, back.used))
         held = tuple(pair for pair in one.held if pair[0] != back.lease)
-        self._keep(back.customer, _changed(one, held=held, level=one.level + rest))
-        return w.Done(one.level + rest)
+        level = max(-one.burst, one.level + found.units - max(0.0, back.used))
+        self._keep(back.customer, _changed(one, held=held, level=level))
+        return w.Done(level)
 
     def _settle(self, stamp: float, customer: str, units: float) -> w.Result:
         one = self.store(stamp, customer)
--- a/mapleshunt/holdings/words.py
+++ b/mapleshunt/holdings/words.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from ..maintenance import words as works
+
 # Operations
 
 
@@ -32,7 +34,9 @@
 
 
 class Return(msgspec.Struct, array_like=True, tag=2, frozen=True):
-    """A lease ends: `used` of its units are spent, the rest goes back, unless it has run out."""
+    """A lease ends: `used` of its units are spent, the rest goes back, unless it has run out. More than its
+    units were used where true costs were above the guess: that comes off the store.
+    """
 
     customer: str
     lease: int
@@ -75,7 +79,7 @@
     version: int
 
 
-Operation = Open | Lease | Return | Settle | Count | Reserve | Release | Put
+Operation = Open | Lease | Return | Settle | Count | Reserve | Release | Put | works.Operation
 
 
 class Command(msgspec.Struct, array_like=True, frozen=True):
@@ -98,7 +102,7 @@
 
 
 class Denied(msgspec.Struct, array_like=True, tag=12, frozen=True):
-    """Nothing was done: `why` is store, lease, name, version, full, session or order."""
+    """Nothing was done: `why` is store, lease, name, version, full, session, order, or what forbids work."""
 
     why: str
     value: float = 0.0
--- a/mapleshunt/maintenance/state.py
+++ b/mapleshunt/maintenance/state.py
@@ -63,6 +63,7 @@
         self.requests: dict[str, w.Request] = {}
         self.places: dict[tuple[str, str], w.Place] = {}  # by request and machine
         self.blocked = ""  # why nobody who waits may go, as of the last look
+        self.chosen = False  # somebody set the budget
 
     # Snapshots
 
@@ -70,12 +71,13 @@
         return w.Frozen(
             self.budget, self.held, self.fence, self.failures, max(self.returned, -1e18), self.strained,
             tuple(self.requests.values()), tuple(self.places.values()), self.blocked,
+            self.chosen,
         )  # fmt: skip
 
     def thaw(self, frozen: w.Frozen) -> None:
         self.budget, self.held, self.fence = frozen.budget, frozen.held, frozen.fence
         self.failures, self.returned = frozen.failures, frozen.returned
-        self.strained, self.blocked = frozen.strained, frozen.blocked
+        self.strained, self.blocked, self.chosen = frozen.strained, frozen.blocked, frozen.chosen
         self.requests = {one.ask.id: one for one in frozen.requests}
         self.places = {(one.request, one.machine): one for one in frozen.places}
 
@@ -96,7 +98,7 @@
             case w.SetBudget(budget, _):
                 if why := contradiction(budget):
                     raise Refused(why)
-                self.budget = budget
+                self.budget, self.chosen = budget, True
             case w.Seen():
                 self._seen(now, operation)
             case w.Told():
--- a/mapleshunt/maintenance/words.py
+++ b/mapleshunt/maintenance/words.py
@@ -140,3 +140,4 @@
     requests: tuple[Request, ...]
     places: tuple[Place, ...]
     blocked: str
+    chosen: bool
--- a/mapleshunt/net/copies.py
+++ b/mapleshunt/net/copies.py
@@ -148,6 +148,12 @@
         holdings, stamp = self.holdings, self.node.last_stamp()
         if kind == "store":
             return msgspec.msgpack.encode(holdings.store(stamp, name))
+        if kind == "place":
+            place, now = holdings.works.place_of(name), self.node.stamp(self.copies.now())
+            long = place is not None and holdings.works.requests[place.request].ask.long
+            return msgspec.msgpack.encode((now, place, long, bool(holdings.works.open())))
+        if kind == "works":
+            return msgspec.msgpack.encode((self.node.stamp(self.copies.now()), holdings.works.freeze()))
         if kind == "record":
             return msgspec.msgpack.encode(holdings.records.get(name))
         return msgspec.msgpack.encode(None)
@@ -222,6 +228,8 @@
         self.patience = Patience(section.replace_after_s, section.settle_after_s)
         self.ended = self.renewing = False
         self.here = Here(self._replied)
+        self.led: dict[int, str] = {}  # by group: who was last told to lead, of groups without a copy here
+        self.serves: Callable[[], dict[str, Any]] = dict  # how the gateway does, for its status
         self.waiting: dict[int, Callable[[wire.Reply], None]] = {}  # this gateway's own calls
 
     @property
@@ -432,26 +440,46 @@
 
     # This gateway's own calls
 
-    def call(self, group: int, command: bytes, to: str, done: Callable[[wire.Reply], None]) -> int:
+    def call(
+        self, group: int, command: bytes, to: str, done: Callable[[wire.Reply], None], read: str = ""
+    ) -> int:
         """Through that gateway; `done` is told of its reply, if one comes. The number, to stop waiting."""
         number = self.number()
         self.waiting[number] = done
-        frame = wire.Call(number, group, command)
+        self._send_call(wire.Call(number, group, command, read), to)
+        return number
+
+    def ask(self, to: str, what: str, done: Callable[[wire.Reply], None]) -> int:
+        """What operators ask, of another gateway."""
+        number = self.number()
+        self.waiting[number] = done
+        self._send_call(wire.Ask(number, what), to)
+        return number
+
+    def _send_call(self, frame: wire.Call | wire.Ask, to: str) -> None:
         if to == self.name:
             self._called(self.here, frame)
         elif to in self.links.links:
             self.links.links[to].write(frame)
-        return number
 
     def _replied(self, reply: wire.Reply) -> None:
         if (done := self.waiting.pop(reply.number, None)) is not None:
             done(reply)
 
+    def learn(self, group: int, reply: wire.Reply) -> None:
+        """A call was refused: go where the reply points, or anywhere."""
+        if reply.hint:
+            self.led[group] = reply.hint
+        else:
+            self.led.pop(group, None)
+
     def leads(self, group: int) -> str:
         """Who is thought to lead the group: by the own copy, else any that holds it and is here."""
         host = self.hosts.get(group)
         if host is not None and host.node.leader:
             return m.gateway_of(host.node.leader)
+        if (led := self.led.get(group)) is not None and self.links.here(led):
+            return led
         holders = place(group, self.zones, self.section.size)
         here = [one for one in holders if one == self.name or self.links.here(one)]
         return self.chance.choice(here) if here else self.name
@@ -475,7 +503,7 @@
             "gateway": self.name, "incarnation": self.disk.incarnation, "boot": self.disk.boot,
             "links": sorted(self.links.links), "formed": bin(self.formed).count("1"),
             "commits": self.writer.commits, "writes": self.writer.writes, "failures": self.writer.failures,
-            "slowest_commit_ms": round(1000 * self.writer.slowest, 1),
+            **self.serves(), "slowest_commit_ms": round(1000 * self.writer.slowest, 1),
             "groups": [host.status() for _, host in sorted(self.hosts.items())],
         }  # fmt: skip
 
--- /dev/null
+++ b/mapleshunt/rig/rolls.py
@@ -0,0 +1,204 @@
+"""Work on real gateways, one machine after another, with faults in the middle; and what is seen from outside.
+
+Each machine has somebody who works on it: waits until it is safe, ends it, starts it again, and says so.
+Faults strike by what has happened: at the nth time that some machine is in a state.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import re
+import signal
+import time
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from ..holdings import words as h
+from ..maintenance import words as w
+from ..maintenance.state import Works
+from .callers import Caller
+from .faults import CALM, Faults, Machine
+from .gateways import GatewayFailed
+
+DRAIN = 3.0  # s that a grant holds
+STRIKES = ("kill_coordinator", "kill_it", "pause_it", "cut_it", "kill_all", "lose_disk", "kill_another")
+STATES = ("granted", "draining", "safe", "out", "returning")
+
+
+@dataclass
+class Roll:
+    """What came of it."""
+
+    strikes: list[str] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+    times: dict[str, int] = field(default_factory=dict)  # that each machine was out
+    most: int = 0  # that took no clients by plan at once, as they told
+    seconds: float = 0.0
+    story: list[str] = field(default_factory=list)
+
+
+class Rolls(Faults):
+    def __init__(
+        self, folder: Path, config: dict[str, Any], gateways: int = 5, seed: int = 1, most: int = 1
+    ) -> None:
+        super().__init__(folder, config, gateways, seed, 3, election_ms=500.0)
+        self.lease, self.most, self.groups = False, most, 2
+        self.further = (
+            f"(maintenance (most {most}) (zone 1) (pause-s 0.2) (drain-s {DRAIN}) (failures 99)"
+            " (most-load 9.0))"
+        )
+        self.roll = Roll()
+        self.out: set[str] = set()
+        self.works = Works()
+
+    async def read(self, caller: Caller) -> Works:
+        works = Works()
+        _, frozen = await asyncio.wait_for(caller.read("works", "", tuple[float, w.Frozen]), CALM)
+        works.thaw(frozen)
+        self.works = works
+        return works
+
+    async def works_on(self, machine: Machine, number: int) -> None:
+        """Somebody who works on that machine once it is safe."""
+        caller = self.caller(1000 + number)
+        await caller.do(h.Open())
+        while not self.over:
+            place = (await self.read(caller)).place_of(machine.name)
+            if place is not None and place.state == "safe":
+                told = await caller.do(w.Told(machine.name, place.fence, "out"))
+                if isinstance(told, h.Done):
+                    await self.work(machine, caller, place.fence)
+            await asyncio.sleep(0.1)
+        caller.close()
+
+    async def work(self, machine: Machine, caller: Caller, fence: int) -> None:
+        self.out.add(machine.name)
+        self.roll.times[machine.name] = self.roll.times.get(machine.name, 0) + 1
+        if len(self.out) > self.most:
+            self.roll.broken.append(f"{sorted(self.out)} are worked on, {self.most} may be")
+        await asyncio.to_thread(machine.kill, signal.SIGTERM)
+        await asyncio.sleep(self.random.uniform(0.1, 0.4))
+        machine.start()
+        await caller.do(w.Told(machine.name, fence, "returning"))
+        self.out.discard(machine.name)
+
+    async def watch(self) -> None:
+        """How many take no clients though nobody works on them, by what they tell themselves."""
+        while not self.over:
+            told = await self.statuses()
+            drained = {name for name, one in told.items() if not one.get("takes", True)} | self.out
+            self.roll.most = max(self.roll.most, len(drained))
+            if len(drained) > self.most:
+                self.roll.broken.append(f"{sorted(drained)} take no clients, {self.most} may not")
+            await asyncio.sleep(0.05)
+
+    async def when(self, caller: Caller, state: str) -> Machine:
+        """The machine that is in that state next."""
+        end = time.monotonic() + CALM
+        while time.monotonic() < end:
+            for place in (await self.read(caller)).open():
+                if place.state == state:
+                    return self.machines[place.machine]
+            await asyncio.sleep(0.02)
+        raise GatewayFailed(f"no machine is {state} after {CALM:g} s: {self.works.blocked}")
+
+    async def strike(self, what: str, state: str, caller: Caller) -> None:
+        it = await self.when(caller, state)
+        self.roll.strikes.append(f"{what} while {it.name} is {state}")
+        worked_on = it.name in self.out  # whoever works on it ends and starts it
+        match what:
+            case "kill_coordinator":
+                leader = await self.leader()
+                if leader.name not in self.out:
+                    leader.kill()
+            case "kill_it" if not worked_on:
+                it.kill()
+                await asyncio.sleep(0.5)
+            case "lose_disk" if not worked_on:
+                it.wipe()
+            case "pause_it" if not worked_on:
+                it.pause()
+                await asyncio.sleep(DRAIN + 1.0)  # beyond its grant, and on
+                it.go_on()
+            case "cut_it":
+                for way in [*self.ways(None, it), *self.ways(it, None)]:
+                    way.open.clear()
+                await asyncio.sleep(1.5)
+            case "kill_another":
+                others = [one for one in self.machines.values() if one is not it and one.name not in self.out]
+                self.random.choice(others).kill()
+                await asyncio.sleep(1.5)
+            case "kill_all":
+                for one in self.machines.values():
+                    if one.name not in self.out:
+                        one.kill()
+        for way in self.ways(None, None):
+            way.open.set()
+        for one in self.machines.values():
+            if one.name not in self.out:
+                one.go_on()
+                one.start()
+
+    async def run(self, schedule: Sequence[tuple[str, str]] = (), strikes: int = 3) -> Roll:
+        """Work on all machines, with those strikes or as many as the seed draws; at the end all are done."""
+        begun = time.monotonic()
+        drawn = [(self.random.choice(STRIKES), self.random.choice(STATES)) for _ in range(strikes)]
+        tasks: list[asyncio.Task[None]] = []
+        caller = self.caller(1)
+        try:
+            await self.up()
+            await caller.do(h.Open())
+            ask = w.Ask("roll", tuple(self.machines), "memory", "op", 60.0)
+            for _ in range(2):  # the second time as if the first had not been answered
+                done = await caller.do(ask)
+                assert isinstance(done, h.Done), done
+            tasks = [
+                *(asyncio.create_task(self.works_on(one, n)) for n, one in enumerate(self.machines.values())),
+                asyncio.create_task(self.watch()),
+            ]
+            for what, state in schedule or drawn:
+                await self.strike(what, state, caller)
+            end = time.monotonic() + 4 * CALM
+            while (await self.read(caller)).open() and time.monotonic() < end:
+                await asyncio.sleep(0.1)
+            await self.whole()
+            self.over = True
+            await asyncio.wait_for(asyncio.gather(*tasks), CALM)
+            self._judge()
+        except (GatewayFailed, TimeoutError) as error:
+            self.roll.broken.append(f"not in time: {error!r}; {self._told()}")
+        finally:
+            for task in tasks:
+                task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.gather(*tasks, return_exceptions=True)
+            caller.close()
+            await self.down()
+        self.roll.seconds = round(time.monotonic() - begun, 1)
+        return self.roll
+
+    def _told(self) -> str:
+        return ", ".join(f"{one.machine} {one.state}" for one in self.works.places.values())
+
+    def _judge(self) -> None:
+        broken = self.roll.broken
+        if left := [one for one in self.works.places.values() if one.state != "done"]:
+            broken.append(f"not done: {self._told()} ({len(left)})")
+        for place in self.works.places.values():
+            self.roll.story.append(f"{place.machine}: {' '.join(step.state for step in place.story)}")
+        if odd := {name: n for name, n in self.roll.times.items() if n != 1}:
+            broken.append(f"out more than once: {odd}")
+        # Each grant's number was one machine's alone, whoever coordinated.
+        fences: dict[str, set[str]] = {}
+        for machine in self.machines.values():
+            said = (machine.folder / "log").read_text()
+            for found in re.finditer(r"event=maintenance_drains fence=(\d+)", said):
+                fences.setdefault(found[1], set()).add(machine.name)
+        if twice := {fence: names for fence, names in fences.items() if len(names) > 1}:
+            broken.append(f"two machines under one grant: {twice}")
+        if len(Counter(self.roll.times)) != len(self.machines):
+            broken.append(f"only {sorted(self.roll.times)} were out")
--- a/mapleshunt/settings/operators.py
+++ b/mapleshunt/settings/operators.py
@@ -10,6 +10,8 @@
 import msgspec
 from msgspec import Meta
 
+from ..maintenance.state import contradiction
+from ..maintenance.words import Budget
 from .reader import SettingsError, parse
 from .schema import whole
 
@@ -56,11 +58,47 @@
             raise ValueError(f"{self.size} copies need {self.size} peers at least, not {len(names)}")
 
 
+class Window(msgspec.Struct, frozen=True, rename="kebab"):
+    """Nobody is taken out from then to then, Unix time in s."""
+
+    begin: float
+    end: float
+
+
+class Maintenance(msgspec.Struct, frozen=True, rename="kebab"):
+    """Take machines out for work one after another; needs copies. Times in s."""
+
+    most: int = 1  # out at once, planned and unplanned together
+    zone: int = 1  # of one zone
+    most_load: float = 0.8  # of those left
+    slack: float = 0.1
+    pause_s: float = 10.0
+    drain_s: float = 60.0
+    failures: int = 2
+    closed: tuple[Window, ...] = ()
+    version: str = ""  # of this gateway, for rolls
+
+    def __post_init__(self) -> None:
+        if why := contradiction(self.budget()):
+            raise ValueError(why)
+
+    def budget(self) -> Budget:
+        return Budget(
+            self.most, self.zone, self.most_load, self.slack, self.pause_s, self.drain_s, self.failures,
+            tuple((one.begin, one.end) for one in self.closed),
+        )  # fmt: skip
+
+
 class Operators(msgspec.Struct, frozen=True, rename="kebab"):
     """All sections."""
 
     record: Record | None = None
     copies: Copies | None = None
+    maintenance: Maintenance | None = None
+
+    def __post_init__(self) -> None:
+        if self.maintenance is not None and self.copies is None:
+            raise ValueError("maintenance needs copies")
 
 
 def check(text: str, file: str = "settings") -> Operators:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -205,6 +205,20 @@
     assert result == w.Granted(2, 9.0)  # 10 of 60 were not spent, and went back once
 
 
+def test_what_a_lease_was_overspent_by_comes_off_the_store() -> None:
+    """True costs above the guess: it was clipped to the lease's units, and nobody paid for it."""
+    left = {7: -3.0}
+    one = holder(left)
+    one.answered(5.0, asked(one.demand(0.0, "c", RATE, BURST, 3, 1.0)), w.Granted(7, 2.0))
+    ask = asked(one.demand(6.0, "c", RATE, BURST, 3, 1.0))
+    assert isinstance(ask.operation, w.Lease) and ask.operation.back == ((7, 5.0),)
+    state = Holdings()
+    operations: list[w.Operation] = [w.Open(), w.Lease("c", RATE, 10.0, 2.0, 1.0, 1e9), w.Return("c", 1, 5.0)]
+    for number, operation in enumerate(operations):
+        result = state.apply(0.0, w.ENCODE(w.Command("h/1", number, 0, operation)))
+    assert result == w.Done(5.0)  # 8 were left of 10, and 3 more were used
+
+
 def test_one_that_was_denied_asks_again_for_what_the_store_may_have_by_then() -> None:
     one = holder({})
     ask = asked(one.demand(0.0, "c", RATE, BURST, 3, 5.0))
--- /dev/null
+++ b/tests/test_rolls.py
@@ -0,0 +1,121 @@
+"""Work on real gateways, one after another, with faults in the middle; many are in `benchmarks/`."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+
+from mapleshunt.maintenance.sight import seen
+from mapleshunt.maintenance.state import Works
+from mapleshunt.rig.faults import plain_config
+from mapleshunt.rig.rolls import Rolls
+from mapleshunt.settings import operators
+from mapleshunt.settings.reader import SettingsError
+
+from .test_faults import PEERS, command
+
+SCHEDULES = [
+    [("kill_coordinator", "granted"), ("pause_it", "draining")],
+    [("kill_it", "draining"), ("cut_it", "granted")],
+    [("kill_all", "out")],
+    [("kill_another", "safe"), ("lose_disk", "granted")],
+    [("kill_coordinator", "out"), ("kill_coordinator", "returning")],
+]
+
+
+@pytest.mark.parametrize("number", range(len(SCHEDULES)))
+def test_each_machine_goes_once_and_never_more_than_may(number: int, tmp_path: Path) -> None:
+    played = Rolls(tmp_path, plain_config(), 5, seed=number + 1)
+    roll = asyncio.run(played.run(SCHEDULES[number]))
+    assert not roll.broken and len(roll.strikes) == len(SCHEDULES[number]), roll
+    assert roll.times == dict.fromkeys(played.machines, 1) and roll.most == 1
+    logs = "".join(one.read_text() for one in tmp_path.glob("*/log"))
+    assert "exception" not in logs and "event=maintenance_drains" in logs
+
+
+def test_operators_take_machines_out_by_the_command_line(tmp_path: Path) -> None:
+    played = Rolls(tmp_path, plain_config(), 3, seed=7)
+
+    async def play() -> None:
+        try:
+            await played.up()
+            run = command(tmp_path / "g0" / "operators.sexp")
+
+            async def told(*args: str) -> object:
+                code, text = await run("maintenance", *args, "--json")
+                assert code == 0, text
+                return json.loads(text)
+
+            code, text = await run("maintenance", "request", "g9", "--reason", "disks")
+            assert code == 2 and "no machine is named 'g9'" in text
+            for _ in range(2):  # the second time as if nobody had answered
+                found = await told("request", "g1", "g2", "--reason", "disks", "--id", "r", "--expected", "5")
+                assert found == {"id": "r", "machines": ["g1", "g2"]}
+            code, text = await run("maintenance", "request", "g2", "--reason", "more")
+            assert code == 2 and "g2 is asked for already, by r" in text
+            code, text = await run("maintenance", "return", "g2")
+            assert code == 2 and "g2 is not out" in text
+            planned = await told("plan")
+            assert isinstance(planned, dict) and [one for n in planned["batches"] for one in n][-1] == "g2"
+            code, text = await run("maintenance", "await-safe", "g1", "--patience", "20")
+            assert code == 0, text
+            assert (await run("maintenance", "hold", "--reason", "payday"))[0] == 0
+            machine = played.machines["g1"]
+            machine.kill()
+            machine.start()
+            assert (await run("maintenance", "return", "g1"))[0] == 0
+            for _ in range(60):
+                status = await told("status")
+                assert isinstance(status, dict)
+                if status["over"] == 1 and "held: payday" in status["waits_for"]:
+                    break
+            else:
+                raise AssertionError(status)
+            assert (await run("maintenance", "withdraw", "r"))[0] == 0
+            assert (await run("maintenance", "await-safe", "g2", "--patience", "5"))[0] == 1
+            shown = await told("show", "r")
+            assert isinstance(shown, dict)
+            went = [one["state"] for one in shown["story"] if one["machine"] == "g1"]
+            assert went == ["queued", "granted", "draining", "safe", "out", "returning", "done"]
+            for machine in played.machines.values():
+                machine.kill()
+            assert (await run("maintenance", "list"))[0] == 1
+        finally:
+            await played.down()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("(maintenance (most 1))", "maintenance needs copies"),
+        (f'(copies (fleet "f") (folder "x") {PEERS}) (maintenance (most 0))', "nobody ever goes"),
+        (f'(copies (fleet "f") (folder "x") {PEERS}) (maintenance (most 1) (zone 2))', "more than most"),
+    ],
+)
+def test_settings_that_let_nobody_go_are_told(text: str, said: str) -> None:
+    with pytest.raises(SettingsError, match=said):
+        operators.check(text)
+
+
+def test_what_is_seen_is_worked_out_from_what_gateways_tell() -> None:
+    def status(name: str, takes: bool, role: str, commit: int) -> dict[str, object]:
+        voters = [f"{one}/i" for one in ("a", "b", "c")]
+        group = {"group": 0, "role": role, "term": 3, "leader": "a", "voters": voters, "commit": commit}
+        return {"incarnation": "i", "takes": takes, "load": 0.5, "groups": [group]}
+
+    told = {
+        "a": status("a", True, "leader", 5000), "b": status("b", False, "follower", 4990),
+        "c": status("c", True, "follower", 100), "d": None,
+    }  # fmt: skip
+    found = seen(1.0, {"a": "x", "b": "x", "c": "y", "d": "y"}, 2, told, Works())
+    assert [(one.name, one.here, one.leads) for one in found.machines] == [
+        ("a", True, 1), ("b", False, 0), ("c", True, 0), ("d", False, 0)
+    ]  # fmt: skip
+    assert found.groups[0].voters == ("a", "b", "c")
+    assert found.groups[0].sound == ("a", "b")  # c is far behind
+    assert found.groups[1].voters == ("a", "b", "c", "d") and not found.groups[1].sound  # nobody leads it
