Owe what true costs took beyond every lease, and show fewer units beyond quotas with copies

Excluded: the start (no units beyond in its seconds), and what goes back (mended before). At fault: state.py, lease(): true costs come off the lease that ends last, often lease 0, and the next answer set that to 0 units again. They are owed now, and settled; a test fails without it.

Without copies lease() is never called; the files under policy are unchanged.

--- a/mapleshunt/state.py
+++ b/mapleshunt/state.py
@@ -71,9 +71,10 @@
         """Number 0 has no units and tells that the copies answer. If they fall silent, the own store goes on
         from there: it did not fill up meanwhile.
         """
-        self.leases[number] = (units, until)
-        if not number:
+        if not number:  # true costs above the guess came off it, where it ended last: they are owed
+            self.owed += max(0.0, -self.leases.get(0, (0.0, 0.0))[0])
             self.store.level = min(self.store.fill(now), 0.0)
+        self.leases[number] = (units, until)
 
     def leased(self, now: float) -> float | None:
         """Units that the leases in force let it use; None if none is."""
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -66,6 +66,18 @@
     assert kinds(driver.ask(plan="thin")) == ["Refuse"]
 
 
+def test_true_costs_that_no_lease_holds_are_owed() -> None:
+    """They came off lease 0, which ended last, and were gone with the next answer."""
+    driver = Driver(settles=True)
+    driver.feed(Leased("c", "thin", 1, 1.0, driver.now + 500))
+    driver.feed(Leased("c", "thin", 0, 0.0, driver.now + 5000))
+    (sent,) = driver.ask(plan="thin")
+    assert isinstance(sent, Send)
+    driver.answer(sent, cost=3.5)  # one was guessed
+    driver.feed(Leased("c", "thin", 0, 0.0, driver.now + 5000))
+    assert driver.gateway.customers[tag_of("c")].owed == pytest.approx(2.5)
+
+
 class Holder:
     """A gateway that spends what it may."""
 
