--- a/mapleshunt/rig/rolls.py
+++ b/mapleshunt/rig/rolls.py
@@ -87,10 +87,15 @@
         self.out.discard(machine.name)
 
     async def watch(self) -> None:
-        """How many take no clients though nobody works on them, by what they tell themselves."""
+        """How many take no clients, by what they tell themselves: those that had, and are drained since. One
+        that a fault ended takes none while it starts, and that is no plan.
+        """
+        served: set[tuple[str, int]] = set()  # lives that have taken clients
         while not self.over:
             told = await self.statuses()
-            drained = {name for name, one in told.items() if not one.get("takes", True)} | self.out
+            served |= {(name, one["boot"]) for name, one in told.items() if one.get("takes", True)}
+            drained = {name for name, one in told.items() if not one.get("takes", True)
+                       and (name, one["boot"]) in served} | self.out  # fmt: skip
             self.roll.most = max(self.roll.most, len(drained))
             if len(drained) > self.most:
                 self.roll.broken.append(f"{sorted(drained)} take no clients, {self.most} may not")
