Hold every watch on the list to one time budget, and let none end for want of a descriptor

Seen: `Discovery.run` made its socket before the `try`. With RLIMIT_NOFILE used up the task ended with "OSError: [Errno 24] Too many open files" (probe on a real socket), and nobody noticed: no list came again. Read and computed: with 200 gateways that ask for lists a start waited up to 4.96 s and a pause lasted up to 43 s (probe of 100 starts and 30 pauses); a call on a silent agent took 6 s to connect and 7 s to be answered. News counts as told 6 s after discovery had it, 4 s after a move.

Change: one budget in net/backoff.py. A watch's silence, pause, dial and answer together stay under 6 s; a call that begins a watch waits for no news (wait=0), so a dead one is found in 2 s; a first pause may use what is left of the budget. A pushed list is asked for again within 0.25 s: what the agent gets at discovery's return counts at once. The socket is made inside of what catches its failure. An agent behind what is known is asked for the whole list.

The test of watches expected wait=1000 on the first call of a connection too; it now names every call's path.

--- a/mapleshunt/net/backoff.py
+++ b/mapleshunt/net/backoff.py
@@ -1,12 +1,23 @@
-"""Pauses between calls that fail. No I/O and no clock: chance is handed in."""
+"""The one time budget of a watch: how long its calls may take, and how long to pause after one that failed.
+
+No I/O and no clock: chance and times are handed in.
+"""
 
 from __future__ import annotations
 
 import random
 
+# ms, by the protocol: what discovery has and could be asked for counts as told by then, whatever call failed
+TOLD = 6000.0
+WAIT = 1000.0  # ms that a watch waits for something new: one that falls silent is found soon after
+DIAL = 500.0  # ms for a connection to come up: the agent is on this machine
+SILENCE = 500.0  # ms past a call's own wait after which the agent counts as gone
+TURN = 1500.0  # ms that a call that begins a watch may stand in line besides: one service answers the fleet
 FIRST = 100.0  # ms, the widest first pause at least
 LAST = 2000.0  # ms, the widest pause at least
-ALONE = 500.0  # ms, the widest pause of a caller whose agent answers by itself: nobody is spared by waiting
+# ms, the widest pause of a caller whose agent answers by itself: nobody is spared by waiting, and what the
+# agent gets when discovery is back counts at once. It is half of the grace for a drain.
+ALONE = 250.0
 EACH = 25.0  # ms that one service needs for a call: all gateways of the fleet may call at once
 FAIL = 2.0  # widest first pause after a failure, in the time that it takes to serve the fleet
 MOST = 10.0  # widest pause, in the same
@@ -16,7 +27,8 @@
     """Exponential back-off with full jitter: the n-th pause is uniform from 0 to min(most, first * 2^n).
 
     The source is the common practice of full jitter: callers that failed together, as all do whom one
-    overloaded service turned away, come back spread evenly, and less often the longer it lasts.
+    overloaded service turned away, come back spread evenly, and less often the longer it lasts. No pause
+    outlasts the budget: one that began as late as it may, and the call after it, end within `TOLD`.
     """
 
     def __init__(self, callers: int, chance: random.Random) -> None:
@@ -29,17 +41,26 @@
         self.first = max(FIRST, FAIL * self.spread)
         self.most = max(LAST if callers else ALONE, MOST * self.spread)
         self.failures = 0
+        self.dial = DIAL  # ms for a connection
+        self.answer = SILENCE + TURN  # ms for an answer to a call that does not wait for news
+        # ms for a pause whatever went before. What discovery has is learned by a call that began before
+        # it, and so in vain, the pause, and the answer to the call after it.
+        self.rest = TOLD - (self.dial + self.answer) - self.answer
 
     def start(self) -> float:
-        """ms to wait before the first call, which all that were started together make."""
-        return self.chance.uniform(0.0, self.spread)
+        """ms to wait before the first call, which all that were started or moved together make."""
+        return self.chance.uniform(0.0, min(self.spread, self.rest))
 
     def answered(self) -> None:
         """A call was answered: the next failure is a first one."""
         self.failures = 0
 
-    def pause(self) -> float:
-        """ms to wait after one more failure."""
+    def pause(self, since: float = TOLD) -> float:
+        """ms to wait after one more failure, `since` ms after the last answer.
+
+        After a first failure most of the budget is left, and the fleet may spread over all of it.
+        """
         window = min(self.most, self.first * 2.0 ** min(self.failures, 30))
         self.failures += 1
-        return self.chance.uniform(0.0, window)
+        left = TOLD - since - self.dial - self.answer
+        return self.chance.uniform(0.0, min(window, max(self.rest, left)))
--- a/mapleshunt/net/discovery.py
+++ b/mapleshunt/net/discovery.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import math
 import socket
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -18,16 +19,13 @@
 from .. import interface as i
 from ..terms import STATES
 from . import http, log
-from .backoff import Backoff
+from .backoff import SILENCE, WAIT, Backoff
 from .buffer import ReadBuffer, TooLong
 from .config import Address, ConfigError, address, family_of
 from .counters import Counters
 from .upstream import Member
 
 PATH = "/catalog/members"
-WAIT = 1000  # ms that a watch waits for something new: one that falls silent is found soon after
-SILENCE = 500  # ms past a call's own wait after which the agent counts as gone
-FIRST_LIMIT = 6000  # ms for the whole list, or past its wait for a watch's first answer: calls wait in turn
 UNKNOWN = (400, 404, 410)  # statuses that may mean that the revision asked from is not known
 
 
@@ -71,45 +69,55 @@
         """`revision` is that of the list known; without one the whole list is asked for."""
         self.agent, self.told, self.counters = agent, told, counters
         self.backoff, self.revision = backoff, revision
-        self.first_limit, self.watch_limit = FIRST_LIMIT / 1000, (WAIT + SILENCE) / 1000  # s
+        self.first_limit, self.watch_limit = backoff.answer / 1000, (WAIT + SILENCE) / 1000  # s
+        self.heard = -math.inf  # s on the loop's clock, when a call was last answered
 
     async def run(self) -> None:
-        """Until it is cancelled."""
+        """Until it is cancelled: whatever ends a call, there is a next one."""
         await asyncio.sleep(self.backoff.start() / 1000)
         while True:
-            stream = IOStream(socket.socket(family_of(self.agent)), max_buffer_size=2 * http.MAX_MESSAGE)
-            try:
-                reason = await self._session(stream)
-            except TimeoutError:
-                reason = "agent_silent"
-            except StreamClosedError as closed:
-                reason = "agent_unreachable" if closed.real_error else "agent_closed"
-            except (http.ProtocolError, TooLong, ValueError) as error:
-                reason = "malformed_list"
-                log.say("malformed_list", why=error)
-            except Exception:
-                reason = "exception"
-                self.counters.add("exceptions")
-                log.trouble("discovery_exception")
-            finally:
-                stream.close()
+            reason = await self._call()
             self.counters.add("discovery_ended")
-            pause = self.backoff.pause()
+            pause = self.backoff.pause((asyncio.get_running_loop().time() - self.heard) * 1000)
             log.say("discovery_ended", reason=reason, revision=self.revision, pause=pause)
             await asyncio.sleep(pause / 1000)
 
+    async def _call(self) -> str:
+        """One connection from its socket to its end; the reason for that."""
+        try:
+            stream = IOStream(socket.socket(family_of(self.agent)), max_buffer_size=2 * http.MAX_MESSAGE)
+        except OSError as error:  # no descriptor is left
+            self.counters.add("out_of_descriptors")
+            log.say("discovery_not_called", why=error)
+            return "no_descriptor"
+        try:
+            return await self._session(stream)
+        except TimeoutError:
+            return "agent_silent"
+        except StreamClosedError as closed:
+            return "agent_unreachable" if closed.real_error else "agent_closed"
+        except (http.ProtocolError, TooLong, ValueError) as error:
+            log.say("malformed_list", why=error)
+            return "malformed_list"
+        except Exception:
+            self.counters.add("exceptions")
+            log.trouble("discovery_exception")
+            return "exception"
+        finally:
+            stream.close()
+
     async def _session(self, stream: IOStream) -> str:
         """Call after call on one connection; the reason for its end."""
-        async with asyncio.timeout(self.first_limit):
+        async with asyncio.timeout(self.backoff.dial / 1000):
             await stream.connect(self.agent)
         buffer = ReadBuffer(http.MAX_MESSAGE)
         watching = False
         while True:
-            # A call that begins a watch waits its turn at the one service. Given up after a watch's usual
-            # silence it was work for nobody, and with many gateways that was all the service did.
-            path, limit = PATH, self.watch_limit if watching else self.first_limit + WAIT / 1000
+            # A call that begins a watch waits its turn at the one service, and for nothing else: what came
+            # meanwhile it tells at once. Given up after a watch's usual silence it was work for nobody.
+            path, limit = PATH, self.watch_limit if watching else self.first_limit
             if self.revision is not None:
-                path = f"{PATH}?index={self.revision}&wait={WAIT}"
+                path = f"{PATH}?index={self.revision}&wait={WAIT if watching else 0:.0f}"
             async with asyncio.timeout(limit):
                 await stream.write(http.get(path, f"{self.agent[0]}:{self.agent[1]}"))
                 while not (found := http.parse_response(buffer.data, buffer.start, buffer.end)):
@@ -123,8 +131,11 @@
                 return f"status_{response.status}"
             members = member_list(json.loads(bytes(response.body)))
             self.backoff.answered()
+            self.heard = asyncio.get_running_loop().time()
             self.told(members)
             watching = self.revision is not None  # the answer was a watch's: the next call continues it
-            self.revision = members.revision
+            # An agent that is behind what is known cannot tell what changed since: the whole list does.
+            behind = not members.complete and self.revision is not None and members.revision < self.revision
+            self.revision = None if behind else members.revision
             if not response.keep:
                 return "agent_closed"
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -6,19 +6,20 @@
 import heapq
 import json
 import random
+import resource
 
 import pytest
 
-from mapleshunt.net.backoff import Backoff
+from mapleshunt.net.backoff import SILENCE, TOLD, WAIT, Backoff
 from mapleshunt.net.counters import Counters
-from mapleshunt.net.discovery import SILENCE, WAIT, Discovery, MemberList
+from mapleshunt.net.discovery import Discovery, MemberList
 
 
 class Prompt(Backoff):
     """Calls again at once: what is asked is looked at, not when."""
 
-    def pause(self) -> float:
-        return super().pause() / 1000
+    def pause(self, since: float = TOLD) -> float:
+        return super().pause(since) / 1000
 
 
 def answer(revision: int, complete: bool, status: bytes = b"200 OK") -> bytes:
@@ -69,10 +70,13 @@
     asyncio.run(run())
     assert [(one.revision, one.complete) for one in told] == [
         (41, True), (43, False), (44, False), (45, False), (46, False), (47, False), (50, True)]
-    whole, watch = "/catalog/members", f"/catalog/members?index={{}}&wait={WAIT}"
-    # Whatever ended it, the watch goes on from the revision held, unless discovery does not know that.
-    assert asked[:10] == [whole, *(watch.format(n) for n in (41, 43, 43, 44, 44, 45, 45, 46, 46))]
-    assert asked[10:] == [watch.format(47), whole]
+    # Whatever ended it, the watch goes on from the revision held, unless discovery does not know that. The
+    # first call on a connection waits for no news: what came while there was no watch is told at once.
+    first, on = "/catalog/members?index={}&wait=0", f"/catalog/members?index={{}}&wait={WAIT:.0f}"
+    assert asked == [
+        "/catalog/members", first.format(41), on.format(43), first.format(43), on.format(44),
+        first.format(44), on.format(45), first.format(45), on.format(46), first.format(46), on.format(47),
+        "/catalog/members"]
 
 
 def test_watch_that_falls_silent_is_found_before_what_it_had_to_tell_counts_as_told() -> None:
@@ -120,3 +124,100 @@
     backoff = Backoff(0, random.Random(1))
     assert backoff.start() == 0.0
     assert max(backoff.pause() for _ in range(50)) <= 500
+
+
+class Agent:
+    """One scripted agent on a real socket: each call is given to the test, which answers it or does not."""
+
+    def __init__(self) -> None:
+        self.calls: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                path = (await reader.readuntil(b"\r\n\r\n")).decode().split()[1]
+                await self.calls.put((path, writer))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def start(self) -> asyncio.Server:
+        return await asyncio.start_server(self.serve, "127.0.0.1", 0)
+
+
+def test_watch_comes_back_when_no_descriptor_was_left_for_its_call() -> None:
+    # The socket was made outside of the `try`: its OSError ended the task, and no list came ever again.
+    told: list[MemberList] = []
+
+    async def run() -> Counters:
+        agent, counters = Agent(), Counters()
+        server = await agent.start()
+        address = server.sockets[0].getsockname()
+        discovery = Discovery(address, told.append, counters, Prompt(0, random.Random(1)))
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (3, hard))  # those that are open stay; there is no new
+        try:
+            task = asyncio.create_task(discovery.run())
+            while not counters.counts["discovery_ended"] and not task.done():
+                await asyncio.sleep(0)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+        assert not task.done()
+        _, writer = await agent.calls.get()
+        writer.write(answer(7, True))
+        while not told:
+            await asyncio.sleep(0)
+        task.cancel()
+        server.close()
+        return counters
+
+    counts = asyncio.run(run()).counts
+    assert told[0].revision == 7 and counts["out_of_descriptors"] >= 1
+
+
+def test_agent_that_is_behind_what_is_known_is_asked_for_the_whole_list() -> None:
+    # A new agent may count from before: the changes since are not among those it goes on to tell.
+    async def run() -> list[str]:
+        agent = Agent()
+        server = await agent.start()
+        told: list[MemberList] = []
+        discovery = Discovery(
+            server.sockets[0].getsockname(), told.append, Counters(), Prompt(0, random.Random(1)), 41
+        )
+        task = asyncio.create_task(discovery.run())
+        paths = []
+        for reply in (answer(30, False), answer(31, True), answer(32, False)):
+            path, writer = await agent.calls.get()
+            paths.append(path)
+            writer.write(reply)
+        task.cancel()
+        server.close()
+        return paths
+
+    assert asyncio.run(run()) == [
+        "/catalog/members?index=41&wait=0", "/catalog/members", "/catalog/members?index=31&wait=0"]
+
+
+LOST = ("silent", "reset", "refused", "moved")
+
+
+def told_after(backoff: Backoff, lost: str, now: float) -> float:
+    """ms from the loss of a watch to the answer of the first call that can be answered, in its turn."""
+    if lost == "moved":
+        return backoff.start() + backoff.dial + backoff.answer
+    if lost == "refused":  # a call that began before, in vain, took all it may, long after the last answer
+        return backoff.dial + backoff.answer + backoff.pause() + backoff.answer
+    noticed = WAIT + SILENCE if lost == "silent" else now
+    return noticed + backoff.pause(noticed) + backoff.dial + backoff.answer
+
+
+@pytest.mark.parametrize("callers", [0, 2, 40, 200])
+@pytest.mark.parametrize("lost", LOST)
+def test_news_is_told_within_the_budget_whatever_ended_the_watch(callers: int, lost: str) -> None:
+    # With 200 gateways a pause took up to 50 s and the call after it 7 s. A move counts 4 s later.
+    for seed in range(500):
+        chance = random.Random(seed)
+        backoff = Backoff(callers, chance)
+        for _ in range(seed % 8 if lost == "refused" else 0):
+            backoff.pause()
+        took = told_after(backoff, lost, chance.uniform(0.0, WAIT))
+        assert took <= (4000.0 if lost == "moved" else TOLD)
