Check once more before bytes go out that a try is wanted, and let slow answers go on

Read and then forced on real sockets: after a dial, and after the turn of the loop between decision and write, `send` asked for the time alone. A server told to drain or gone meanwhile, one that had restarted or moved, a client that had left where tries cannot be called off, and a window for repeats that had ended all got their bytes. A repeat waiting for a slot whose window ended waited on, unsendable, until its patience ended. An answer was held for spoilt 0.1 s after its first part, however it went on.

Change: one check, `wanted` in net/stages/send.py, before the dial and again before the bytes: client there, try not given up, server listed ready at this address since this start, `Send.before` (the decisions' end of the window, less their margin) not passed. The decisions finish a waiting repeat that may not be sent any more; what may have run is asked of one place, `Job.risky`. A reply that has begun is spoilt when it stands still for 0.1 s, or is not whole in half of what is left of its try. Links' dials, too, survive a lack of descriptors.

Without the check 8 of the crossings fail or hang.

--- a/mapleshunt/control.py
+++ b/mapleshunt/control.py
@@ -37,7 +37,6 @@
 DRAW = 4  # servers over gateways, times this, are compared, two at least, drawn at random: no herd, less CPU
 WARMS = 1.5  # sends to a cold server over its ramp, the slowest the settings allow: most warm sooner
 FAR = 1.1  # load factor of a server in another zone: decides between near equals only
-PROVEN = ("full", "unreachable", "unsent")  # outcomes that prove an attempt never ran
 
 
 class Gateway(Memory):
@@ -329,7 +328,8 @@
         for _ in range(len(self.again)):
             job = self.again.popleft()
             if job.ref in self.jobs and job.again and not self.send(job):
-                self.again.append(job)
+                over = self.permits(job)[0] is None and all(a.status is not None for a in job.attempts)
+                (self.finish if over else self.again.append)(job)  # its window may end while it waits
         while self.ring or self.visited:
             if self.visited is None:
                 if self.left <= 0:
@@ -356,8 +356,8 @@
         if used >= slots or (server := self.choose(job)) is None:
             return False
         server.out[job.ref, len(job.attempts)] = self.now
+        self.actions.append(i.Send(job.ref, server.entry.server, before=job.window_end() - self.margin))
         job.attempts, job.again = [*job.attempts, Attempt(server, self.now)], False
-        self.actions.append(i.Send(job.ref, server.entry.server))
         if self.ramp(server) < 1:
             server.allowance.level -= 1
         else:
@@ -400,7 +400,7 @@
 
     def permits(self, job: Job) -> tuple[tuple[tuple[str, object], ...] | None, bool]:
         """The one place for rule 2: where this may be sent now (None: nowhere), and may it be refused."""
-        risky = [a for a in job.attempts if a.status not in PROVEN]
+        risky = job.risky()
         sendable = len(job.attempts) < self.set.max_attempts and not job.streaming
         sendable = sendable and (self.set.second_copies or all(a.status is not None for a in job.attempts))
         if not risky or job.cls.effect == "safe":
@@ -408,7 +408,7 @@
         if job.cls.effect == "unsafe":
             return None, False
         name = job.cls.group
-        sendable = sendable and self.now < risky[0].sent + job.cls.window
+        sendable = sendable and self.now < job.window_end() - self.margin
         group = () if name == "all" else tuple((name, getattr(a.server.entry, name)) for a in risky)
         return (group if sendable else None), name == "all"
 
--- a/mapleshunt/interface.py
+++ b/mapleshunt/interface.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Literal
@@ -15,6 +16,7 @@
 ListKind = Literal["partial", "complete", "persisted", "error"]
 # "full", "unreachable" and "unsent" prove that the attempt never ran.
 Status = Literal["ok", "error", "full", "timeout", "unreachable", "reset", "cancelled", "unsent"]
+PROVEN = ("full", "unreachable", "unsent")
 
 
 def _need(good: bool, what: str, accepted: str, value: object) -> None:
@@ -206,11 +208,15 @@
 
 @dataclass(slots=True, frozen=True)
 class Send:
-    """Start an attempt; attempts of a request number 0, 1, ... in the order of their `Send`."""
+    """Start an attempt; attempts of a request number 0, 1, ... in the order of their `Send`.
+
+    Not one byte of it goes out from `before` on: the window for repeats has to cover its arrival.
+    """
 
     ref: int
     server: int
     timeout: float = 0.0
+    before: float = math.inf
 
 
 @dataclass(slots=True, frozen=True)
--- a/mapleshunt/net/context.py
+++ b/mapleshunt/net/context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -65,6 +66,7 @@
     server: int
     sent: float  # on the driver's clock
     until: float  # when the gateway stops waiting
+    before: float = math.inf  # from then on none of its bytes may go out
     connection: Connection | None = None
     given_up: i.Status | None = None
     task: asyncio.Task[None] | None = None
--- a/mapleshunt/net/links.py
+++ b/mapleshunt/net/links.py
@@ -173,14 +173,16 @@
     async def _dial(self, peer: str) -> None:
         failures = 0
         while True:
-            stream = IOStream(socket.socket(family_of(self.peers[peer])), max_write_buffer_size=MOST_UNSENT)
-            begun = asyncio.get_running_loop().time()
-            try:
+            begun, stream = asyncio.get_running_loop().time(), None
+            try:  # the socket too: without a descriptor left the next dial follows all the same
+                family = family_of(self.peers[peer])
+                stream = IOStream(socket.socket(family), max_write_buffer_size=MOST_UNSENT)
                 async with asyncio.timeout(GREETING):
                     await stream.connect(self.peers[peer])
                 await self._run(Link(self, stream, peer))
             except (OSError, StreamClosedError, TimeoutError):
-                stream.close()
+                if stream is not None:
+                    stream.close()
             lasted = asyncio.get_running_loop().time() - begun
             failures = 0 if lasted > GREETING else min(failures + 1, 10)
             await asyncio.sleep(self.chance.uniform(0.0, min(AGAIN[1], AGAIN[0] * 2**failures)))
--- a/mapleshunt/net/stages/route.py
+++ b/mapleshunt/net/stages/route.py
@@ -8,6 +8,7 @@
 
 def route(context: RequestContext, action: i.Send, now: float) -> Try:
     until = min(now + action.timeout, context.due) if action.timeout else context.due
-    attempt = Try(number=len(context.tries), server=action.server, sent=now, until=until)
+    number = len(context.tries)
+    attempt = Try(number=number, server=action.server, sent=now, until=until, before=action.before)
     context.tries.append(attempt)
     return attempt
--- a/mapleshunt/net/stages/send.py
+++ b/mapleshunt/net/stages/send.py
@@ -16,20 +16,32 @@
     Whether a try may have run decides if it may be repeated. It may have, once its last byte was written;
     before that it never ran, whatever broke or was given up.
     """
+
+    def wanted() -> bool:
+        """The one check before bytes go out. A dial takes time, and so does a turn of the loop: since the
+        decision its client may have left, its server be told to drain, its window or its patience have ended.
+        """
+        time = now()
+        going = context.open and attempt.given_up is None and attempt.until - time >= 1
+        return going and time < attempt.before and group.wanted(attempt.server)
+
     try:
+        if not wanted():
+            return Ending("unsent")
         connection = group.idle(attempt.server)
         if connection is None:
             connection = group.connection(attempt.server)
             attempt.connection = connection
             await connection.connect()
         attempt.connection = connection
-        left = attempt.until - now()
-        if attempt.given_up is not None or left < 1:
+        if not wanted() or not group.current(connection):
             group.release(connection)
             return Ending("unsent")
+        left = attempt.until - now()
         reply = await connection.exchange(
             context.message.encode(int(left)),
             lambda: group.counters.add_class("upstream_requests", context.request.cls),
+            left / 2000,
         )
     except NoRoom:
         return Ending("unsent")
--- a/mapleshunt/net/upstream.py
+++ b/mapleshunt/net/upstream.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import errno
+import math
 import socket
 import zlib
 from collections.abc import Callable, Sequence
@@ -22,7 +23,7 @@
 from .context import Ending
 from .counters import Counters
 
-STALL = 0.1  # s that a reply may stand half read: a till server writes it whole, within 1 ms
+STALL = 0.1  # s that a reply that has begun may stand still
 SETTLE = 0.01  # s before a connection that has answered carries the next try
 AT_ONCE = 0.02  # s: a kept connection that is reset so soon under a try had ended before
 REGAIN = 5.0  # s in which the time that a connection may stand idle and be used again doubles
@@ -80,6 +81,7 @@
         self.tries, self.reason = 0, ""
         self.idle_since = 0.0
         self.stall: asyncio.TimerHandle | None = None
+        self.longest = self.whole_by = math.inf  # s for the reply now awaited, and when it has to be whole
         self.reader: asyncio.Task[None] | None = None
         group.connections.add(self)
 
@@ -110,15 +112,17 @@
             return error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
         return False
 
-    async def exchange(self, data: bytes, whole: Callable[[], None] = lambda: None) -> Ending:
-        """Write a command and wait for how it ends; `whole` is called once its last byte is written.
-
-        Raises `ConnectionLost`.
+    async def exchange(
+        self, data: bytes, whole: Callable[[], None] = lambda: None, longest: float = math.inf
+    ) -> Ending:
+        """Write a command and wait for how it ends; `whole` is called once its last byte is written, and a
+        reply that has begun has `longest` s to come whole. Raises `ConnectionLost`.
         """
         if self.stream.closed():
             raise ConnectionLost(written=False)
         loop = asyncio.get_running_loop()
         self.waiting, begun = loop.create_future(), loop.time()
+        self.longest, self.whole_by = longest, math.inf
         self.tries += 1
         written = self.stream.write(data)
         if written.done():
@@ -155,9 +159,13 @@
         if self.waiting is None or self.waiting.done():
             raise resp.ProtocolError("bytes that belong to no try")
         if found is None:
-            if self.stall is None:
-                loop = asyncio.get_running_loop()
-                self.stall = loop.call_later(STALL, self._spoilt, "a reply that does not end")
+            # A long answer may come slowly, in small pieces; one that does not go on, or never ends, is
+            # spoilt while there is time left for another try.
+            loop = asyncio.get_running_loop()
+            self.whole_by = min(self.whole_by, loop.time() + self.longest)
+            self._stop_stall()
+            at = min(self.whole_by, loop.time() + STALL)
+            self.stall = loop.call_at(at, self._spoilt, "a reply that does not end")
             return
         self.buffer.consume(found[1])
         self._stop_stall()
@@ -273,13 +281,22 @@
             self.counters.add("out_of_descriptors")
             raise NoRoom from None
 
+    def wanted(self, number: int) -> bool:
+        """Does the list name it as one that takes new requests?"""
+        server = self.servers.get(number)
+        return server is not None and server.member.state == "ready"
+
+    def current(self, connection: ServerConnection) -> bool:
+        """Does it lead to its till server as the list has it now, at this address and since this start?"""
+        server, member = connection.server, connection.member
+        same = server.member.address == member.address and server.member.started == member.started
+        return same and self.servers.get(member.number) is server
+
     def release(self, connection: ServerConnection) -> None:
         """A try has ended and its connection may carry the next."""
-        server, member = connection.server, connection.member
         if connection not in self.connections:
             return
-        current = self.servers.get(member.number) is server and server.member.address == member.address
-        if not current or server.member.started != member.started:
+        if not self.current(connection):
             connection.close("server_moved")  # or gone: none that the list does not name is kept
         else:
             connection.idle_since = asyncio.get_running_loop().time()
--- a/mapleshunt/state.py
+++ b/mapleshunt/state.py
@@ -126,6 +126,15 @@
     hedged: bool = False
     streaming: bool = False
 
+    def risky(self) -> list[Attempt]:
+        """Attempts that may have run, or may yet."""
+        return [a for a in self.attempts if a.status not in i.PROVEN]
+
+    def window_end(self) -> float:
+        """Until when a repeat may arrive: counted from the first attempt that may have run."""
+        risky = self.risky() if self.cls.effect == "keyed" else ()
+        return risky[0].sent + self.cls.window if risky else math.inf
+
 
 @dataclass(slots=True)
 class Server:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import Any
 
@@ -28,7 +29,7 @@
 from mapleshunt.report import SILENT, Line, code_of, decode, encode, server_tag, tag_of
 from mapleshunt.state import Customer
 
-from .conftest import PLANS, Driver
+from .conftest import CLASSES, PLANS, Driver
 
 
 def sends(actions: list) -> list[Send]:  # type: ignore[type-arg]
@@ -905,3 +906,25 @@
         assert all(len(server.doubts) <= 200 for server in gateway.servers.values())
     assert max(max(row) for row in sizes[:2000]) * 1.2 >= max(max(row) for row in sizes[2000:])
     assert max(sizes[-1]) < 400
+
+
+def test_repeat_whose_window_ends_while_it_waits_for_a_slot_is_answered_then() -> None:
+    # It waited, unsendable, until its patience ended; and nothing bounded when its bytes went out.
+    driver = Driver(servers=1)
+    first = next(a for a in driver.ask("note") if isinstance(a, Send))
+    while any(isinstance(a, Send) for a in driver.ask("look", units=0.1)):
+        pass  # until no slot is free
+    driver.gateway.bound = 1e-9  # and none comes free
+    assert not any(isinstance(a, Send) for a in driver.answer(first, "error"))
+    driver.now += CLASSES["note"].window
+    assert [a.ref for a in driver.ask("look") if isinstance(a, Fail)] == [first.ref]
+
+
+def test_no_byte_of_a_repeat_goes_out_after_its_window() -> None:
+    driver = Driver(servers=2)
+    first = next(a for a in driver.ask("mark") if isinstance(a, Send))
+    assert first.before == math.inf
+    begun = driver.now
+    driver.wait(100)
+    again = next(a for a in driver.answer(first, "error") if isinstance(a, Send))
+    assert begun < again.before < begun + CLASSES["mark"].window
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -6,6 +6,8 @@
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import Any
 
 import pytest
 from tornado.iostream import IOStream
@@ -47,11 +49,15 @@
     return asyncio.run(run())
 
 
-def attempt_at(group: UpstreamGroup, number: int) -> tuple[Try, asyncio.Task[Ending]]:
+def request_at(number: int) -> tuple[RequestContext, Try]:
     answer: Answer = Silent()
     message = SvcMessage(WORDS, {"c": "look", "d": "480", "r": "1"})
     context = RequestContext(1, Request(1, "look", "wide", "c", 480), message, answer, 0.0)
-    attempt = Try(0, number, 0.0, 480.0)
+    return context, Try(0, number, 0.0, 480.0)
+
+
+def attempt_at(group: UpstreamGroup, number: int) -> tuple[Try, asyncio.Task[Ending]]:
+    context, attempt = request_at(number)
     return attempt, asyncio.create_task(send(context, attempt, group, lambda: 179.3))
 
 
@@ -297,3 +303,103 @@
         return []
 
     assert play(steps) == []
+
+
+def listed_as(**changes: Any) -> Callable[[UpstreamGroup, int], None]:
+    """The list changes under a try."""
+
+    def change(group: UpstreamGroup, number: int) -> None:
+        group.update("partial", [replace(group.servers[number].member, **changes)])
+
+    return change
+
+
+CROSSINGS: dict[str, Callable[[UpstreamGroup, int, RequestContext, Try, list[float]], Any]] = {
+    "drained": lambda group, number, *_: listed_as(state="draining")(group, number),
+    "gone": lambda group, number, *_: listed_as(state="gone")(group, number),
+    "restarted": lambda group, number, *_: listed_as(started=5.0)(group, number),
+    "moved": lambda group, number, *_: listed_as(address=("127.0.0.1", 1))(group, number),
+    "left": lambda _group, _number, context, *_: context.end(),
+    "given up": lambda _group, _number, _context, attempt, _clock: attempt.give_up("cancelled"),
+    "window over": lambda _group, _number, _context, attempt, _clock: setattr(attempt, "before", 179.0),
+    "patience over": lambda _group, _number, _context, _attempt, clock: clock.append(479.5),
+}
+
+
+# With a kept connection, one that restarted or moved is dialled anew and gets its request there.
+@pytest.mark.parametrize(
+    ("crossing", "kept"),
+    [(one, False) for one in CROSSINGS]
+    + [(one, True) for one in CROSSINGS if one not in ("restarted", "moved")],
+)
+def test_no_byte_goes_out_for_what_is_no_longer_wanted(crossing: str, kept: bool) -> None:
+    """Between the decision and the bytes lie a turn of the loop and, without a kept connection, a dial.
+
+    Only the time was asked for again: a server told to drain meanwhile got the request, and so did one
+    whose client had left, or whose window for repeats had ended.
+    """
+
+    async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
+        connection = group.connection(number)
+        server = await accept_while(connection.connect(), listener)
+        if kept:
+            group.release(connection)
+            await asyncio.sleep(2 * upstream.SETTLE)
+        else:  # the next one's dial is the turn of the loop in which all changes
+            connection.close("test")
+        (context, attempt), clock = request_at(number), [179.3]
+        task = asyncio.create_task(send(context, attempt, group, lambda: clock[-1]))
+        if not kept:
+            await asyncio.sleep(0)  # it dials
+            assert attempt.connection is not None
+        CROSSINGS[crossing](group, number, context, attempt, clock)
+        ending = await task
+        group.close()
+        if not kept:
+            server.close()
+            listener.settimeout(0.0)
+            try:
+                server = listener.accept()[0]
+            except BlockingIOError:  # given up, it ended before it came up
+                return [ending]
+            server.settimeout(10)
+        with contextlib.suppress(ConnectionResetError):
+            assert await asyncio.to_thread(server.recv, 100) == b""
+        server.close()
+        return [ending]
+
+    assert play(steps) == [Ending("unsent")]
+
+
+def test_long_answer_that_comes_slowly_but_goes_on_is_not_spoilt() -> None:
+    # It counted as spoilt 0.1 s after its first part, however it went on.
+    async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
+        attempt, task = attempt_at(group, number)
+        with await accept(listener) as server:
+            await taken(server)
+            connection, ends = attempt.connection, list[float]()
+            assert isinstance(connection, upstream.ServerConnection)
+            for at in range(0, len(GOOD) - 1, 4):
+                server.send(GOOD[at : min(at + 4, len(GOOD) - 1)])
+                while connection.buffer.end < min(at + 4, len(GOOD) - 1):
+                    await asyncio.sleep(0)
+                assert connection.stall is not None
+                ends.append(connection.stall.when())
+            assert ends == sorted(set(ends))  # each part moves the moment at which it counts as spoilt
+            assert ends[-1] <= connection.whole_by  # which half of what is left of the try bounds
+            server.send(GOOD[-1:])
+            return [await task]
+
+    assert [one.status for one in play(steps)] == ["ok"]
+
+
+def test_answer_that_goes_on_without_end_is_spoilt_while_there_is_time_left() -> None:
+    async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
+        connection = group.connection(number)
+        with await accept_while(connection.connect(), listener) as server:
+            task = asyncio.create_task(connection.exchange(b"x", longest=0.0))
+            await asyncio.to_thread(server.recv, 1)
+            server.send(GOOD[:1])
+            return [await task]
+
+    assert play(steps) == [Ending("error")]
