Give client connections one orderly end, and read them at all times

Change: a reader that always reads, a taker that is called again when what it waits for has come; arrivals are timed; a flood beyond what is read ahead is refused, so that reading goes on. One end, `finish`: what is owed is written, this side is ended, the rest read and thrown away until the client ends. The last call refuses what comes on and ends. `Acceptor` takes connections for clients, door and links, and rests when descriptors run out. The system's limit on descriptors counts beside the configuration's.

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -7,6 +7,7 @@
 import math
 import os
 import random
+import resource
 import signal
 import socket
 import sys
@@ -15,7 +16,7 @@
 from typing import TYPE_CHECKING
 
 import uvloop
-from tornado.ioloop import IOLoop, PeriodicCallback
+from tornado.ioloop import PeriodicCallback
 from tornado.iostream import IOStream
 
 from . import interface as i
@@ -26,7 +27,7 @@
 from .net.counters import Counters
 from .net.discovery import Discovery, MemberList, member_list
 from .net.driver import Driver
-from .net.listening import accepted, bound
+from .net.listening import Acceptor, bound
 from .net.peers import Peers
 from .net.upstream import UpstreamGroup
 
@@ -43,9 +44,9 @@
 TEND_EVERY = 50  # ms
 HEAR_AGAIN = 0.1  # s between two tries to have the address of peers' messages
 BACKLOG = 512  # connections that wait in the kernel to be accepted
-ACCEPT_AT_ONCE = 8
 COUNTERS_EVERY = 10_000  # ms: one that is killed prints none at its end
 RESTED = 0.1  # s with nothing owed after which a connection makes room when there are many
+LINGERERS = 8  # client connections that end in good order beside those that are served
 RESERVE = 32  # descriptors kept for the log, the loop, the listener, discovery and peers
 SERVERS_PART = 0.4  # part of the other descriptors that connections to till servers may take
 
@@ -60,7 +61,8 @@
             from .net.door import DESCRIPTORS
 
             kept += DESCRIPTORS
-        self.usable = max(16, config.sockets - kept)
+        self.sockets = min(config.sockets, descriptors())  # whichever binds first
+        self.usable = max(16, self.sockets - kept)
         self.group = UpstreamGroup(self.counters, config.dial_timeout, config.conn_idle / 3, 0)
         self.share(1)
         self.driver = Driver(config.settings, config.seed, self.group, self.counters)
@@ -74,6 +76,7 @@
         self.stopped = asyncio.Event()
         self.life = Life()
         self.listeners: list[socket.socket] = []
+        self.acceptors: list[Acceptor] = []
         self.accepting = False
         # A client that does not read may make the gateway hold this much: no more than a part of its memory.
         self.most_unwritten = min(client.MOST_UNWRITTEN, max(4 * resp.MAX_VALUE, config.memory // 64))
@@ -91,7 +94,7 @@
         upstream = int(self.usable * SERVERS_PART / processes)
         self.most_clients = self.usable // processes - upstream
         # Usual clients hold a third at most: well before that, those that ask no more give up their places.
-        self.many_clients = self.config.sockets // (5 * processes)
+        self.many_clients = self.sockets // (5 * processes)
         self.group.limit(upstream)
         self.processes = processes
 
@@ -116,37 +119,40 @@
     # Client connections: at the limit an idle one makes room, and with none idle new ones wait in the
     # kernel. One that was accepted and closed might have carried a request, which would be lost.
 
-    def accept(self, listener: socket.socket) -> None:
-        # A few at a time: hundreds that connect at once must not hold up the requests of others.
-        for _ in range(ACCEPT_AT_ONCE):
-            if not self.accepting:
-                return
-            if (connection := accepted(listener, self.counters)) is None:
-                return
-            self.service.serve(IOStream(connection, max_write_buffer_size=self.most_unwritten))
-            count = len(self.service.connections)
-            if count >= self.most_clients and not self.service.make_room():
-                log.say("accepting_paused", client_connections=count)
-                self.stop_accepting()
+    def accept(self, connection: socket.socket) -> None:
+        self.service.serve(IOStream(connection, max_write_buffer_size=self.most_unwritten))
+        if not self.room() and not self.service.make_room():
+            log.say("accepting_paused", client_connections=len(self.service.connections))
+            self.stop_accepting()
+        self.service.let_go(LINGERERS if not self.room() else len(self.service.connections))
+
+    def make_room(self) -> None:
+        """No descriptor is left: whoever holds one and asks for nothing gives it up."""
+        self.service.make_room()
+        self.service.let_go(0)
+
+    def room(self) -> bool:
+        """May one more client connection be taken? Some that only linger may stand beside the others."""
+        lingering = min(self.service.finishing, LINGERERS)
+        return len(self.service.connections) - lingering < self.most_clients
 
     def sweep_clients(self) -> None:
         self.service.sweep(self.many_clients, RESTED)
 
     def resume_accepting(self) -> None:
-        room = len(self.service.connections) < self.most_clients
-        if not self.accepting and self.life.accepts(self.time()) and room:
+        if not self.accepting and self.life.accepts(self.time()) and self.room():
             log.say("accepting_resumed", client_connections=len(self.service.connections))
             self.start_accepting()
 
     def start_accepting(self) -> None:
         self.accepting = True
-        for one in self.listeners:
-            IOLoop.current().add_handler(one, lambda listener, _: self.accept(listener), IOLoop.READ)
+        for one in self.acceptors:
+            one.start()
 
     def stop_accepting(self) -> None:
-        for one in self.listeners if self.accepting else ():
-            IOLoop.current().remove_handler(one)
         self.accepting = False
+        for one in self.acceptors:
+            one.stop()
 
     def prepare(self) -> None:
         """Take over the known list and make all ready. What fails here is the configuration's fault."""
@@ -168,6 +174,9 @@
 
                 self.door = Door(config.management, self.called, self.counters)
             self.listeners = [self.listener()]
+            self.acceptors = [
+                Acceptor(one, self.accept, self.counters, spent=self.make_room) for one in self.listeners
+            ]
         except (ValueError, OSError) as error:
             raise ConfigError(f"cannot start: {error}") from None
         self.switch_on()
@@ -413,6 +422,11 @@
         log.say("stopping", open=len(self.driver.open), succeeded=succeeded)
         while self.life.accepts(self.time()):
             await asyncio.sleep(0.01)
+        # What the kernel has accepted may carry a request; the close of its listener would reset it. Of
+        # one that another process has too, that process takes the rest.
+        for acceptor in self.acceptors if self.config.accept_fd is None else ():
+            while self.accepting and acceptor.accept():
+                pass
         self.stop_accepting()
         for listener in self.listeners:
             listener.close()
@@ -433,6 +447,12 @@
         self.driver.feed(i.PeerMessage(peer, text))
 
 
+def descriptors() -> int:
+    """How many this process may hold by the system's word, which binds whatever the configuration says."""
+    soft, _hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return 1 << 20 if soft == resource.RLIM_INFINITY else soft
+
+
 async def _main(config: Config) -> None:
     await Program(config).run()
 
--- a/mapleshunt/net/client.py
+++ b/mapleshunt/net/client.py
@@ -6,9 +6,11 @@
 import contextlib
 import itertools
 import random
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
@@ -17,17 +19,22 @@
 from .context import RequestContext
 from .counters import Counters
 from .driver import Driver
+from .stages import relay
 from .stages.admit import admit
 from .stages.take_in import Unacceptable, take_in
 
 MOST_PENDING = 32  # commands of a connection that wait for their answer before reading pauses
+MOST_REFUSED = 4096  # of such a connection that wait to be told that they are refused
 MOST_UNWRITTEN = MOST_PENDING * (resp.MAX_VALUE + 64)  # bytes
 LINGER = 1.0  # s for which a client that got its last line may still end the connection itself
-IDLE = 2.0  # s that a connection may stand with nothing owed on it, or with a command begun and not ended
+IDLE = 2.0  # s that a connection may stand with nothing owed on it, or with a command that does not go on
+BEGUN = 10.0  # s that a command which goes on may take from its first byte to its last
 SILENT = 0.2  # s after which a connection that has brought nothing is the first to make room
 UNREAD = 10.0  # s that an answer may wait for its client to read it
 STRIKES = 10  # commands that ask for nothing to be had, after which their connection ends
-PACE = 0.05  # s before the next command is read after such a one
+PACE = 0.05  # s before the next command is taken after such a one
+AT_ONCE = 1.0  # ms after which one that is turned away by this connection's state may ask on another
+LOOK = 0.05  # s between two looks whether a client is still there that sent more than is read ahead
 WASTE = bytearray(16 * CHUNK)  # where bytes go that nobody will read; shared, for they are never looked at
 
 
@@ -42,8 +49,9 @@
         self.connections: dict[ClientConnection, None] = {}  # the oldest first
         self.ids: set[str] = set()  # of the requests that are open
         self.ready: Callable[[], bool] = lambda: True
+        self.finishing = 0  # of the connections: those that only wait for their clients to end them
         self.draining = False  # a connection ends as soon as nothing is owed on it
-        self.deaf = False  # one with an answer owed is not read any further
+        self.deaf = False  # what comes on one behind its first command is refused
         self.ended: Callable[[], None] = lambda: None  # told of each connection that ends
 
     def serve(self, stream: IOStream) -> None:
@@ -61,7 +69,7 @@
         newest, now = next(reversed(self.connections), None), asyncio.get_running_loop().time()
         best: ClientConnection | None = None
         for one in self.connections:
-            if one is newest or now - one.since < rested or one.busy():
+            if one is newest or one.last or now - one.since < rested or one.busy():
                 continue
             if not one.commands and now - one.since > SILENT and not one.unread():
                 best = one
@@ -69,9 +77,15 @@
             if (best is None or one.since < best.since) and not one.unread():
                 best = one
         if best is not None:
-            best.end("made_room")
+            best.finish("made_room")
         return best is not None
 
+    def let_go(self, most: int) -> None:
+        """End what has lingered longest, so that no more than `most` do."""
+        for connection in list(self.connections) if self.finishing > most else ():
+            if connection.lingering is not None and self.finishing > most:
+                connection.end(connection.reason)
+
     def sweep(self, many: int, rested: float) -> None:
         """End what stands idle, stops in the middle of a command, or does not read its answers; and of
         more than `many` those that have rested.
@@ -79,7 +93,7 @@
         now = asyncio.get_running_loop().time()
         for connection in list(self.connections):
             connection.end_if_overdue(now)
-        while len(self.connections) > many and self.make_room(rested):
+        while len(self.connections) - self.finishing > many and self.make_room(rested):
             pass
 
     def tend(self, draining: bool, deaf: bool) -> None:
@@ -88,7 +102,7 @@
         now = asyncio.get_running_loop().time()
         for connection in list(self.connections) if draining else ():
             if connection.commands or now - connection.since > SILENT:
-                connection.close_if_done()
+                connection.finish_if_done()
 
 
 class Slot:
@@ -116,91 +130,158 @@
 
 
 class ClientConnection:
+    """Reads at all times, so that its client's leaving is seen at once, and takes commands no faster than
+    answers go out. What comes once its end has begun is thrown away.
+    """
+
     def __init__(self, stream: IOStream, service: Service) -> None:
         self.stream, self.service = stream, service
+        self.loop = asyncio.get_running_loop()
         self.buffer = ReadBuffer(resp.MAX_MESSAGE)
+        self.consumed = 0  # bytes, of all that were read
+        self.arrivals: deque[tuple[int, float]] = deque()  # how many bytes had been read, and when
         self.slots: deque[Slot] = deque()
         self.written: asyncio.Future[None] | None = None
-        self.room: asyncio.Future[None] | None = None  # what a paused reader waits for
-        self.last = False  # no further command is read
+        self.paused = ""  # what the next command waits for: "room", "writing" or "turn"
+        self.last = False  # no further command is taken
         self.commands, self.strikes, self.reason = 0, 0, ""
-        # When it was opened, last written to, or, once it has brought a command, when the next was begun.
-        self.since = asyncio.get_running_loop().time()
+        self.since = self.begun = self.loop.time()  # of: opening, last byte read or written; next command
+        self.wrote = 0.0  # when an answer was last written
         self.task: asyncio.Task[None] | None = None
         self.lingering: asyncio.TimerHandle | None = None
         stream.set_nodelay(True)
 
     async def run(self) -> None:
-        """Read commands until the connection ends; one line in the log says why it did."""
-        try:
-            while not self.last:
-                await self._take_whole()
+        """Read until the connection ends; one line in the log says why it did."""
+        while True:
+            try:
                 if self.last:
-                    return await self._throw_away(self.reason)
-                begun = self.buffer.start != self.buffer.end
-                await self.buffer.fill(self.stream)
-                if self.commands and not begun:
-                    self.since = asyncio.get_running_loop().time()
-        except StreamClosedError as closed:
-            self.end("client_reset" if closed.real_error else "client_closed")
-        except (resp.ProtocolError, TooLong) as error:
-            self.service.counters.add("malformed_commands")
-            await self._last(resp.error(f"ERR {error}"), "malformed_command")
-        except Exception:
-            self._trouble()
-            await self._last(svc.FAILURE, "exception")
+                    await self._throw_away()
+                elif self.paused and self.buffer.end - self.buffer.start >= self.buffer.limit - CHUNK:
+                    if self._hung_up():  # its end stands behind what is not read
+                        return self.end("client_closed")
+                    if self.paused == "room" and len(self.slots) < MOST_REFUSED:
+                        self._refuse_ahead()
+                    await asyncio.sleep(LOOK)
+                else:
+                    await self._read()
+                    self._take_whole()
+            except StreamClosedError as closed:
+                return self.end(self.reason or ("client_reset" if closed.real_error else "client_closed"))
+            except TooLong as error:
+                self._malformed(error)
+            except Exception:
+                self._trouble()
+                if self.last:
+                    return self.end("exception")
+                self._last(svc.FAILURE, "exception")
+
+    async def _read(self) -> None:
+        if self.buffer.start == self.buffer.end:
+            await self.buffer.fill(self.stream)
+            self.begun = self.loop.time()
+        else:
+            await self.buffer.fill(self.stream)
+        self.since = self.loop.time()
+        self.arrivals.append((self.consumed + self.buffer.end - self.buffer.start, self.since))
+        if len(self.arrivals) > 4 * MOST_PENDING:
+            self.arrivals.popleft()
+
+    def _refuse_ahead(self) -> None:
+        """More came than is read ahead. What was read of it is refused: only by reading on is it seen that
+        the client of a flood has gone.
+        """
+        try:
+            while found := resp.parse_command(self.buffer.data, self.buffer.start, self.buffer.end):
+                self.consumed += found[1] - self.buffer.start
+                self.buffer.consume(found[1])
+                self.commands += 1
+                self.service.counters.add("rejected_flood")
+                self._slot().put(svc.rejection(AT_ONCE))
+        except resp.ProtocolError as error:
+            self._malformed(error)
+
+    async def _throw_away(self) -> None:
+        """What still comes is read and thrown away: closing over unread bytes resets the connection, and a
+        reset can take the last answer from the client.
+        """
+        await self.stream.read_into(WASTE, partial=True)
+        await asyncio.sleep(PACE / 10)  # it may go on at full speed: the others come first
+
+    def _hung_up(self) -> bool:
+        """Has the client ended its side, whatever stands unread before that?"""
+        poller = select.poll()
+        poller.register(self.stream.fileno(), select.POLLRDHUP)
+        return bool(poller.poll(0))
 
-    async def _last(self, data: bytes, reason: str) -> None:
+    def _malformed(self, error: Exception) -> None:
+        self.service.counters.add("malformed_commands")
+        self._last(resp.error(f"ERR {error}"), "malformed_command")
+
+    def _last(self, data: bytes, reason: str) -> None:
         """Take no more; end once what is owed and this last line are written."""
         self.last, self.reason = True, reason
         self._slot().put(data)
-        await self._throw_away(reason)
-
-    async def _throw_away(self, reason: str) -> None:
-        """What still comes is read and thrown away: closing over unread bytes resets the connection, and a
-        reset can take the last line from the client.
-        """
-        try:
-            while True:
-                await self.stream.read_into(WASTE, partial=True)
-                await asyncio.sleep(PACE / 10)  # it may go on at full speed: the others come first
-        except StreamClosedError:
-            self.end(reason)
 
     def _trouble(self) -> None:
         self.service.counters.add("exceptions")
         log.trouble("client_connection_exception")
 
-    async def _take_whole(self) -> None:
-        """Take every whole command that has been read, no faster than answers go out."""
-        while found := resp.parse_command(self.buffer.data, self.buffer.start, self.buffer.end):
-            if self.last:  # it was ended while this waited
-                return
-            if self.service.deaf and self.slots:  # else one that always asks on would never end
-                self.last, self.reason = True, "last_call"
-                return
-            self.buffer.consume(found[1])
-            self.commands += 1
-            if not self._take(found[0]):
-                self.strikes += 1
-                if self.strikes == STRIKES:
-                    raise resp.ProtocolError("too many commands that cannot be served")
-                await asyncio.sleep(PACE)
-            # What a client that does not read can make the gateway hold is bounded here.
-            while len(self.slots) >= MOST_PENDING:
-                self.room = asyncio.get_running_loop().create_future()
-                await self.room
-            if self.written is not None and not self.written.done():
-                await self.written
-            if self.buffer.start != self.buffer.end:
-                await asyncio.sleep(0)  # hundreds at once must not hold up other connections
+    def _take_whole(self) -> None:
+        """Take the whole commands that have been read, until the next one has to wait."""
+        buffer = self.buffer
+        try:
+            while not (self.paused or self.last) and (
+                found := resp.parse_command(buffer.data, buffer.start, buffer.end)
+            ):
+                # What a client that does not read can make the gateway hold is bounded here.
+                if len(self.slots) >= MOST_PENDING:
+                    self.paused = "room"
+                elif self.written is not None and not self.written.done():
+                    self.paused = "writing"
+                    self.written.add_done_callback(lambda _: self._go_on())
+                else:
+                    self.consumed += found[1] - buffer.start
+                    buffer.consume(found[1])
+                    self._take_one(found[0])
+                    self.begun = self.loop.time()
+        except resp.ProtocolError as error:
+            self._malformed(error)
+        except Exception:
+            self._trouble()
+            self._last(svc.FAILURE, "exception")
+        if not self.paused:
+            self.arrivals.clear()  # what is left is part of a command: its last byte is still to come
+
+    def _take_one(self, words: list[memoryview]) -> None:
+        self.commands += 1
+        if not self._take(words, self._arrived()):
+            self.strikes += 1
+            if self.strikes == STRIKES:
+                raise resp.ProtocolError("too many commands that cannot be served")
+            self.paused = "turn"
+            self.loop.call_later(PACE, self._go_on)
+        elif self.buffer.start != self.buffer.end:
+            self.paused = "turn"
+            self.loop.call_soon(self._go_on)  # hundreds at once must not hold up other connections
+
+    def _go_on(self) -> None:
+        self.paused = ""
+        if self in self.service.connections:
+            self._take_whole()
+
+    def _arrived(self) -> float:
+        """When the last byte of the command that was consumed last was read."""
+        while len(self.arrivals) > 1 and self.arrivals[0][0] < self.consumed:
+            self.arrivals.popleft()
+        return self.arrivals[0][1] if self.arrivals else self.loop.time()
 
     def _slot(self) -> Slot:
         slot = Slot(self)
         self.slots.append(slot)
         return slot
 
-    def _take(self, words: list[memoryview]) -> bool:
+    def _take(self, words: list[memoryview], arrived: float) -> bool:
         """False if the command asks for what is not to be had."""
         slot, driver = self._slot(), self.service.driver
         if bytes(words[0]).upper() == b"PING":
@@ -208,6 +289,8 @@
             return True
         try:
             intake = svc.intake(words)
+            if (waited := (self.loop.time() - arrived) * 1000) >= 1:  # behind others: its time runs already
+                intake = replace(intake, patience=max(1.0, intake.patience - waited))
             ref, ids = next(self.service.refs), self.service.ids
             context = take_in(intake, slot, driver.settings, ref, driver.now(), ids)
         except (svc.BadCommand, Unacceptable) as error:
@@ -218,6 +301,10 @@
             self._trouble()  # a defect met by one command: the others on this connection go on
             slot.put(svc.FAILURE)
             return True
+        if self.service.deaf and self.commands > 1:  # else one that always asks on would never end
+            self.service.counters.add("rejected_last_call")
+            relay.reject(context, AT_ONCE, self.service.counters)
+            return True
         slot.context = context
         admit(context, driver, self.service.max_open)
         return True
@@ -229,25 +316,31 @@
             ready.append(data)
             self.slots.popleft()
         if ready and not self.stream.closed():
-            self.since = asyncio.get_running_loop().time()
+            self.since = self.wrote = self.loop.time()
             try:
                 self.written = self.stream.write(b"".join(ready))
             except StreamBufferFullError:
                 self.end("slow_client")
             except StreamClosedError:
                 self.end("client_reset")
-        if self.room is not None and not self.room.done() and len(self.slots) < MOST_PENDING:
-            self.room.set_result(None)
+        if self.paused == "room" and len(self.slots) < MOST_PENDING:
+            self.paused = "turn"
+            self.loop.call_soon(self._go_on)
         if self.last or self.service.draining:
-            self.close_if_done()
+            self.finish_if_done()
+
+    def writing(self) -> bool:
+        return self.written is not None and not self.written.done()
 
     def busy(self) -> bool:
         """Is an answer owed or not yet written, or has part of a command come?"""
         part = self.buffer.start != self.buffer.end and not self.last
-        return bool(self.slots) or part or (self.written is not None and not self.written.done())
+        if part and self.service.deaf and self.commands:  # one that goes on writing would never end
+            part = bool(self.paused)  # only what was read whole waits
+        return bool(self.slots) or part or self.writing()
 
     def unread(self) -> bool:
-        """Has something come that is not read yet? It may be a request, which closing over it would lose."""
+        """Has something come that is not read yet? It may be a request: it is taken before an end begins."""
         try:
             return bool(self.stream.socket.recv(1, socket.MSG_PEEK))
         except OSError:
@@ -255,30 +348,42 @@
 
     def end_if_overdue(self, now: float) -> None:
         """Its client is owed an answer to what it asks, and no more than some time to ask it."""
-        if self.last or self.slots or now - self.since < IDLE:
+        part = self.buffer.start != self.buffer.end
+        if self.last or self.slots or self.paused:
             return
-        if self.written is not None and not self.written.done():
-            if now - self.since > UNREAD:
+        if self.writing():
+            if now - self.wrote > UNREAD:
                 self.end("slow_client")
-        elif not self.unread():
-            if self.buffer.start == self.buffer.end:
-                self.end("idle")
-            else:
-                self.last, self.reason = True, "half_a_command"
-                self._slot().put(resp.error("ERR a command was begun and not ended"))
-
-    def close_if_done(self) -> None:
-        """Close a connection that is to end, once nothing is owed on it and all is written."""
-        if not self.busy():
-            if not self.last:
-                if not self.unread():
-                    self.end("drained")
-            elif self.lingering is None:
-                with contextlib.suppress(OSError):
-                    self.stream.socket.shutdown(socket.SHUT_WR)
-                self.lingering = asyncio.get_running_loop().call_later(LINGER, self.end, self.reason)
-        elif not self.slots and self.written is not None and not self.written.done():
-            self.written.add_done_callback(lambda _: self.close_if_done())
+        elif (now - self.since < IDLE and not (part and now - self.begun > BEGUN)) or self.unread():
+            return
+        elif part:
+            self._last(resp.error("ERR a command was begun and not ended"), "half_a_command")
+        else:
+            self.finish("idle")
+
+    def finish(self, reason: str) -> None:
+        """The one orderly end: take no more, write what is owed, end this side, then read on until the
+        client has ended its own. A request that crosses it was not read before the client could see it.
+        """
+        if not self.last:
+            self.last, self.reason = True, reason
+            self.finish_if_done()
+
+    def finish_if_done(self) -> None:
+        """Go on with the end that has begun, or begin it where all are to end, once nothing is owed."""
+        if self.busy():
+            if not self.slots and self.writing() and self.written is not None:
+                self.written.add_done_callback(lambda _: self.finish_if_done())
+        elif not self.last:
+            if self.service.deaf or not self.unread():
+                self.finish("last_call" if self.service.deaf else "drained")
+        elif not self.wrote:  # no answer is on its way that a reset could take along
+            self.end(self.reason)
+        elif self.lingering is None and self in self.service.connections:
+            with contextlib.suppress(OSError):
+                self.stream.socket.shutdown(socket.SHUT_WR)
+            self.lingering = self.loop.call_later(LINGER, self.end, self.reason)
+            self.service.finishing += 1
 
     def end(self, reason: str) -> None:
         if self not in self.service.connections:
@@ -287,12 +392,11 @@
         self.last = True
         if self.lingering is not None:
             self.lingering.cancel()
+            self.service.finishing -= 1
         self.stream.close()
         log.say("client_connection_ended", reason=reason, commands=self.commands, owed=len(self.slots))
         for slot in self.slots:
             if slot.context is not None and slot.context.open:
                 self.service.driver.gone(slot.context)
         self.slots.clear()
-        if self.room is not None and not self.room.done():
-            self.room.set_result(None)
         self.service.ended()
--- a/mapleshunt/net/door.py
+++ b/mapleshunt/net/door.py
@@ -11,18 +11,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
 from . import http, log
 from .buffer import ReadBuffer, TooLong
 from .config import Address
 from .counters import Counters
-from .listening import accepted, bound
+from .listening import Acceptor, bound
 
 CALLERS = 16  # connections held at once
 DESCRIPTORS = CALLERS + 1  # that it may hold in all
-AT_ONCE = 4  # connections accepted in one turn of the loop
 PATIENCE = 6.0  # s that a caller may take for its call
 LINGER = 0.5  # s for which a caller that has its answer may end the connection itself
 BACKLOG = 64
@@ -42,24 +40,22 @@
         self.call, self.counters = call, counters
         self.callers: dict[Caller, None] = {}  # the oldest first
         self.listener = bound(listen)
+        self.acceptor = Acceptor(self.listener, self._take, counters, "door_")
 
     def open(self) -> None:
         self.listener.listen(BACKLOG)
-        IOLoop.current().add_handler(self.listener, lambda *_: self._accept(), IOLoop.READ)
-
-    def _accept(self) -> None:
-        for _ in range(AT_ONCE):
-            if (connection := accepted(self.listener, self.counters, "door_")) is None:
-                return
-            if len(self.callers) >= CALLERS:
-                waiting = (one for one in self.callers if not one.answered)
-                next(waiting, next(iter(self.callers))).end("made_room")
-            caller = Caller(IOStream(connection, max_buffer_size=2 * http.MAX_HEAD), self)
-            self.callers[caller] = None
-            caller.task = asyncio.get_running_loop().create_task(caller.run())
+        self.acceptor.start()
+
+    def _take(self, connection: socket.socket) -> None:
+        if len(self.callers) >= CALLERS:
+            waiting = (one for one in self.callers if not one.answered)
+            next(waiting, next(iter(self.callers))).end("made_room")
+        caller = Caller(IOStream(connection, max_buffer_size=2 * http.MAX_HEAD), self)
+        self.callers[caller] = None
+        caller.task = asyncio.get_running_loop().create_task(caller.run())
 
     def close(self) -> None:
-        IOLoop.current().remove_handler(self.listener)
+        self.acceptor.stop()
         self.listener.close()
         for caller in list(self.callers):
             caller.end("shutdown")
--- a/mapleshunt/net/links.py
+++ b/mapleshunt/net/links.py
@@ -10,7 +10,6 @@
 import socket
 from collections.abc import Callable, Coroutine, Mapping
 
-from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from ..copies import wire
@@ -19,7 +18,7 @@
 from .buffer import ReadBuffer, TooLong
 from .config import Address, family_of
 from .counters import Counters
-from .listening import accepted, bound
+from .listening import Acceptor, bound
 
 BACKLOG = 64
 MOST_UNSENT = 4 << 20  # bytes that a link holds before it drops
@@ -148,10 +147,11 @@
         self.tasks: set[asyncio.Task[None]] = set()
         self.flushing = False
         self.listener = bound(listen)
+        self.acceptor = Acceptor(self.listener, self._take, counters, "copies_")
 
     def open(self) -> None:
         self.listener.listen(BACKLOG)
-        IOLoop.current().add_handler(self.listener, lambda *_: self._accept(), IOLoop.READ)
+        self.acceptor.start()
         for peer in self.peers:
             if self.name < peer:  # one of the two dials
                 self._task(self._dial(peer))
@@ -161,9 +161,7 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    def _accept(self) -> None:
-        if (connection := accepted(self.listener, self.counters, "copies_")) is None:
-            return
+    def _take(self, connection: socket.socket) -> None:
         if len(self.strangers) >= MOST_STRANGERS:
             next(iter(self.strangers)).stream.close()
         link = Link(self, IOStream(connection, max_write_buffer_size=MOST_UNSENT))
@@ -236,7 +234,7 @@
             link.stream.close()
 
     def close(self) -> None:
-        IOLoop.current().remove_handler(self.listener)
+        self.acceptor.stop()
         self.listener.close()
         for task in self.tasks:
             task.cancel()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -403,3 +403,17 @@
             return [await task]
 
     assert play(steps) == [Ending("error")]
+
+
+@pytest.mark.parametrize("crossing", ["drained", "gone", "left", "given up", "window over", "patience over"])
+def test_what_is_no_longer_wanted_is_not_dialled_for(crossing: str) -> None:
+    # A try given up before its task began dialled all the same: work for the till server, and for nobody.
+    async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
+        (context, attempt), clock = request_at(number), [179.3]
+        task = asyncio.create_task(send(context, attempt, group, lambda: clock[-1]))
+        CROSSINGS[crossing](group, number, context, attempt, clock)
+        ending = await task
+        assert not group.counters.counts["dials"]
+        return [ending]
+
+    assert play(steps) == [Ending("unsent")]
