Let cold servers get their part of what warm ones answer, whatever the size of the fleet

Lines at fault: control.py `takes` read the decayed sum of sends as of the last one, so that a gateway that seldom sends went by a rate of then, 1.6 times the true one at 200 gateways; and `send` counted what was sent to warm servers, more than they can do when they are driven too hard.

A watch that a defect ends is told and begins anew: nobody looked at its task.

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -42,6 +42,7 @@
 FIRST_WAIT = 0.002  # s that the loop waits, with all made ready, before the gateway listens
 LATE = 0.5  # s past the longest deadline for which it stays to finish what it has taken
 TEND_EVERY = 50  # ms
+WATCH_AGAIN = 0.1  # s until the list is watched again after a defect
 HEAR_AGAIN = 0.1  # s between two tries to have the address of peers' messages
 BACKLOG = 512  # connections that wait in the kernel to be accepted
 COUNTERS_EVERY = 10_000  # ms: one that is killed prints none at its end
@@ -338,6 +339,18 @@
         backoff = Backoff(settings.instances if settings.ask_discovery else 0, self.chance)
         discovery = Discovery(agent, self.told, self.counters, backoff, self.revision)
         self.watching = asyncio.get_running_loop().create_task(discovery.run())
+        self.watching.add_done_callback(self._watch_ended)
+
+    def _watch_ended(self, task: asyncio.Task[None]) -> None:
+        """It goes on until it is cancelled: whatever else ended it is told, and it begins anew."""
+        if not task.cancelled() and task is self.watching:
+            self.counters.add("exceptions")
+            log.say("watch_ended", why=repr(task.exception()))
+            asyncio.get_running_loop().call_later(WATCH_AGAIN, self._watch_again, task)
+
+    def _watch_again(self, ended: asyncio.Task[None]) -> None:
+        if ended is self.watching:
+            self.watch(self.config.discovery)
 
     def reload(self) -> None:
         """SIGHUP: go by the addresses that the configuration names now; what is being served goes on.
--- a/mapleshunt/control.py
+++ b/mapleshunt/control.py
@@ -51,7 +51,7 @@
         self.answer = sum(self.mean.values()) / len(self.mean)  # mean answer time over all classes
         self.pace = self.best = TARGET / STRETCH  # mean answer time over aim, and its lowest of late
         self.bound = self.ample = AMPLE / settings.instances**CHANCE
-        span = max(settings.cold / 4, 1000.0)  # of: sends a warm server of late, answers heard of a ready one
+        span = max(settings.cold / 4, 1000.0)  # of answers: a warm server's, those heard of a ready one
         self.warm, self.alive = Decayed(span, 0.0, now), Decayed(span, 0.0, now)
         self.shares = [0.5] * len(self.plans)  # part of a plan's asks that keepers granted of late
         self.gap = 1000 * min(settings.instances - 1, WRITERS) / (MAIL_PART * settings.mail_per_s)
@@ -360,8 +360,6 @@
         job.attempts, job.again = [*job.attempts, Attempt(server, self.now)], False
         if self.ramp(server) < 1:
             server.allowance.level -= 1
-        else:
-            self.warm.add(self.now, 1 / sum(self.ramp(s) >= 1 for s in self.ready))
         self.watch(server)
         return True
 
@@ -372,9 +370,9 @@
         return 1.0 if not server.since else min(1.0, self.set.cold_from + (1 - self.set.cold_from) * age)
 
     def takes(self, server: Server) -> bool:
-        """A cold server gets its part of what warm ones get; first allowances are drawn: the sum counts."""
+        """A cold server gets its part of what warm ones serve; first allowances are drawn: the sum counts."""
         ramp = self.ramp(server)
-        server.allowance.rate = WARMS * ramp * self.warm.value / self.warm.span
+        server.allowance.rate = WARMS * ramp * self.warm.add(self.now) / self.warm.span
         return ramp >= 1 or server.allowance.fill(self.now) >= 1
 
     def load(self, server: Server) -> float:
@@ -440,6 +438,8 @@
         self.pace += SMOOTH * (pace - self.pace)
         self.best = min(self.best * (1 + SMOOTH / 300), self.pace)
         server.pace += SMOOTH * (pace - server.pace)
+        if self.ramp(server) >= 1:
+            self.warm.add(self.now, 1 / max(1, sum(self.ramp(s) >= 1 for s in self.ready)))
         self.answers = [*self.answers[-1:], (server_tag(event.server), pace)]
         if server.pace > max(TARGET, REST * self.best) and self.may_bar(server):
             # Driven too hard, a server may stay slow until it has drained: it rests for one answer time.
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -411,11 +411,11 @@
     # Its time for a command was counted from the opening of the connection.
     async def steps(connection: client.ClientConnection, theirs: socket.socket) -> None:
         connection.since = connection.begun = connection.since - 100 * client.IDLE
-        whole, rested = query(), connection.since
+        whole, rests = query(), list[float]()
         for at in range(0, len(whole) - 1, 20):
+            rests.append(connection.since)
             theirs.send(whole[at : min(at + 20, len(whole) - 1)])
-            await until(lambda before=rested: connection.since > before)
-            rested = connection.since
+            await until(lambda: connection.since > rests[-1])
             connection.end_if_overdue(asyncio.get_running_loop().time())
             assert not connection.last
         connection.end_if_overdue(connection.since + client.IDLE / 2)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -15,6 +15,7 @@
 
 from mapleshunt.__main__ import Program
 from mapleshunt.net import config, resp
+from mapleshunt.net.discovery import Discovery
 
 from .processes import EXAMPLE, free_port, query, replies, run
 
@@ -196,3 +197,28 @@
 
     asyncio.run(start())
     assert waited
+
+
+def test_a_watch_that_a_defect_ends_begins_anew(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Nobody noticed its end, and no list came ever again.
+    began = asyncio.Event()
+    calls = iter([ZeroDivisionError, None])
+
+    async def watch(_: Discovery) -> None:
+        if error := next(calls):
+            raise error
+        began.set()
+        await asyncio.Event().wait()
+
+    async def run() -> Program:
+        program = Program(config.parse(EXAMPLE.read_text(), {"PROXY_LISTEN": "127.0.0.1:0"}))
+        program.watch(("127.0.0.1", 1))
+        async with asyncio.timeout(30):
+            await began.wait()
+        assert program.watching is not None
+        program.watching.cancel()  # a cancelled one does not
+        await asyncio.sleep(0)
+        return program
+
+    monkeypatch.setattr(Discovery, "run", watch)
+    assert asyncio.run(run()).counters.counts["exceptions"] == 1
