--- a/mapleshunt/control.py
+++ b/mapleshunt/control.py
@@ -29,6 +29,7 @@
 HOME_MAIL = 0.25  # part of a peer's message intake that one customer's words to it may take
 STIR = 0.25  # part of the rate that others may use though none was told
 ALIKE = 0.25  # part of a customer's gateways that may decide alike before they hear of each other
+ALONE = 0.75  # chance that a gateway with no peer to ask lets a new customer in: more is beyond the quota
 HOME_PART = 0.7  # part of a ceiling's rate that the home grants from; even slices share the rest
 CERTAIN = 3.0  # words of peers and answers that it owes, together, that eject a server on hearsay
 SUSPECT = 6.0  # unanswered waiting, in mean answer times summed over a server's attempts, that ejects it
@@ -151,7 +152,7 @@
             deputy = ring[(part * n // parts + (n // 2 | 1)) % n]  # of a ceiling none: two might pass it
             c.keepers = (homes[part], homes[part], homes[part] if c.plan.ceiling_rate else deputy)
             most = max(c.plan.burst / n, self.set.largest)  # a slice covers one request at least
-            full = not self.set.peers or self.random.random() * most < c.plan.burst / n  # their sum counts
+            full = self.random.random() < max(c.plan.burst / n / most, 0.0 if self.set.peers else ALONE)
             c.slice = Bucket(c.store.rate * parts / n, most, most * full, self.now)
             if c.keepers[0] != self.set.me:
                 c.ceiling = c.ceiling.part((1 / HOME_PART - 1) / n, 1 / n)
@@ -290,10 +291,9 @@
                 c.store.level, c.ceiling.level = level - line.units, c.ceiling.level - line.units
             if not known:
                 c.use.add(self.now, line.units * weight)  # what is asked for, granted or not
-        if line.kind == "used":
-            return
-        use = code_of(c.use.add(self.now) / burst)
-        self.tell(peer, Line(kind, c.tag, line.number, 0.0, max(0.0, c.store.level) / burst, use))
+        if line.kind != "used":
+            use = code_of(c.use.add(self.now) / burst)
+            self.tell(peer, Line(kind, c.tag, line.number, 0.0, max(0.0, c.store.level) / burst, use))
 
     def told(self, c: Customer, line: Line, home: bool) -> None:
         """A keeper's word: its view is newer, and a request that waited for it is let in or refused."""
--- a/mapleshunt/net/client.py
+++ b/mapleshunt/net/client.py
@@ -19,7 +19,6 @@
 from .context import RequestContext
 from .counters import Counters
 from .driver import Driver
-from .stages import relay
 from .stages.admit import admit
 from .stages.take_in import Unacceptable, take_in
 
@@ -301,12 +300,11 @@
             self._trouble()  # a defect met by one command: the others on this connection go on
             slot.put(svc.FAILURE)
             return True
-        if self.service.deaf and self.commands > 1:  # else one that always asks on would never end
-            self.service.counters.add("rejected_last_call")
-            relay.reject(context, AT_ONCE, self.service.counters)
-            return True
         slot.context = context
-        admit(context, driver, self.service.max_open)
+        last_call = self.service.deaf and self.commands > 1  # else one that always asks on would never end
+        if last_call:
+            self.service.counters.add("rejected_last_call")
+        admit(context, driver, self.service.max_open, AT_ONCE if last_call else 0.0)
         return True
 
     def flush(self) -> None:
--- a/mapleshunt/net/stages/admit.py
+++ b/mapleshunt/net/stages/admit.py
@@ -11,10 +11,11 @@
     from ..driver import Driver
 
 
-def admit(context: RequestContext, driver: Driver, most: int) -> None:
+def admit(context: RequestContext, driver: Driver, most: int, elsewhere: float = 0.0) -> None:
+    """`elsewhere`: ms after which it may ask on another connection, where this one takes no more; else 0."""
     driver.counters.add("requests_taken")
-    if len(driver.open) >= most:  # memory is bounded; nothing was sent, so asking again is harmless
-        relay.reject(context, driver.settings.max_retry_after, driver.counters)
+    if elsewhere or len(driver.open) >= most:  # memory is bounded; nothing was sent: asking again is harmless
+        relay.reject(context, elsewhere or driver.settings.max_retry_after, driver.counters)
         driver.over(context)
     else:
         driver.take(context)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -38,6 +38,7 @@
         self.settings = Settings(me=0, instances=1, classes=CLASSES, plans=PLANS)
         self.counters, self.open = Counters(), dict[int, RequestContext]()
         self.left: list[RequestContext] = []
+        self.over: Callable[[RequestContext], None] = lambda context: None
 
     def now(self) -> float:
         return 0.0
