--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -125,7 +125,8 @@
         if not self.room() and not self.service.make_room():
             log.say("accepting_paused", client_connections=len(self.service.connections))
             self.stop_accepting()
-        self.service.let_go(LINGERERS if not self.room() else len(self.service.connections))
+        if not self.room():
+            self.service.let_go(LINGERERS)
 
     def make_room(self) -> None:
         """No descriptor is left: whoever holds one and asks for nothing gives it up."""
--- a/mapleshunt/net/client.py
+++ b/mapleshunt/net/client.py
@@ -51,7 +51,7 @@
         self.finishing = 0  # of the connections: those that only wait for their clients to end them
         self.draining = False  # a connection ends as soon as nothing is owed on it
         self.deaf = False  # what comes on one behind its first command is refused
-        self.ended: Callable[[], None] = lambda: None  # told of each connection that ends
+        self.ended: Callable[[], None] = lambda: None  # told of each connection that gives up its place
 
     def serve(self, stream: IOStream) -> None:
         connection = ClientConnection(stream, self)
@@ -152,7 +152,7 @@
 
     async def run(self) -> None:
         """Read until the connection ends; one line in the log says why it did."""
-        while True:
+        while self in self.service.connections:
             try:
                 if self.last:
                     await self._throw_away()
@@ -176,12 +176,10 @@
                 self._last(svc.FAILURE, "exception")
 
     async def _read(self) -> None:
-        if self.buffer.start == self.buffer.end:
-            await self.buffer.fill(self.stream)
-            self.begun = self.loop.time()
-        else:
-            await self.buffer.fill(self.stream)
+        empty = self.buffer.start == self.buffer.end
+        await self.buffer.fill(self.stream)
         self.since = self.loop.time()
+        self.begun = self.since if empty else self.begun
         self.arrivals.append((self.consumed + self.buffer.end - self.buffer.start, self.since))
         if len(self.arrivals) > 4 * MOST_PENDING:
             self.arrivals.popleft()
@@ -382,6 +380,7 @@
                 self.stream.socket.shutdown(socket.SHUT_WR)
             self.lingering = self.loop.call_later(LINGER, self.end, self.reason)
             self.service.finishing += 1
+            self.service.ended()  # as good as ended: its place may be another's
 
     def end(self, reason: str) -> None:
         if self not in self.service.connections:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -80,7 +80,11 @@
             assert process.poll() is None
         return line
 
-    logged("members")
+    awaited = {"event=started", "event=members"}  # in either order
+    while awaited:
+        line = process.stderr.readline()
+        awaited -= {event for event in awaited if event in line}
+        assert process.poll() is None
     with socket.create_connection(("127.0.0.1", port), timeout=10) as client:
         file.write_text("{")
         process.send_signal(signal.SIGHUP)
