--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -417,3 +417,31 @@
         return [ending]
 
     assert play(steps) == [Ending("unsent")]
+
+
+@pytest.mark.parametrize(("data", "status"), [(GOOD, "ok"), (b"", "timeout")])
+def test_try_given_up_in_the_step_in_which_its_end_is_read(
+    data: bytes, status: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An answer that was read counts; what a reset ended may have run, whoever gave it up meanwhile."""
+
+    async def steps(group: UpstreamGroup, number: int, listener: socket.socket) -> list[Ending]:
+        attempt, task = attempt_at(group, number)
+        with await accept(listener) as server:
+            await taken(server)
+            connection = attempt.connection
+            assert isinstance(connection, upstream.ServerConnection)
+            ended = "_take_reply" if data else "close"
+            reads = getattr(connection, ended)
+
+            def read_and_given_up(*args: str) -> None:
+                reads(*args)
+                attempt.give_up("timeout")  # before the task that waits for the end has its turn
+
+            monkeypatch.setattr(connection, ended, read_and_given_up)
+            server.send(data)
+        ending = await task
+        assert attempt.given_up == "timeout" and not group.connections
+        return [ending]
+
+    assert [one.status for one in play(steps)] == [status]
