Word the first slice as its sum counts, and say in its docstring what holds without peers

The docstring still said that a slice always begins full without peers. Behaviour as before; tests of the decisions, of cold servers and of the project pass.

--- a/mapleshunt/control.py
+++ b/mapleshunt/control.py
@@ -141,7 +141,7 @@
     # Quota and its keepers
 
     def customer(self, event: i.Request) -> Customer:
-        """Its record. Home and deputy, of its set, keep its store for this one; no peers: a full slice."""
+        """Its record. Home and deputy, of its set, keep its store for this one; or a slice alone."""
         c = self.record(tag_of(event.customer), self.plans.index(event.plan))
         if not c.keepers:
             n = c.spread = min(max(event.spread, 1), self.set.instances)
@@ -152,7 +152,7 @@
             deputy = ring[(part * n // parts + (n // 2 | 1)) % n]  # of a ceiling none: two might pass it
             c.keepers = (homes[part], homes[part], homes[part] if c.plan.ceiling_rate else deputy)
             most = max(c.plan.burst / n, self.set.largest)  # a slice covers one request at least
-            full = self.random.random() < max(c.plan.burst / n / most, 0.0 if self.set.peers else ALONE)
+            full = self.random.random() * most < max(c.plan.burst / n, (not self.set.peers) * ALONE * most)
             c.slice = Bucket(c.store.rate * parts / n, most, most * full, self.now)
             if c.keepers[0] != self.set.me:
                 c.ceiling = c.ceiling.part((1 / HOME_PART - 1) / n, 1 / n)
