Count a rig's client's patience from its sending, and listen as long as limits allow on sockets

Cause, by probes: the rig's clients counted their patience from before their connection came up, and left to the millisecond, while a gateway answers 4 ms before the end of what it was told, counted from when it read it. Ruled out: requests that the gateway lost (each was given up by its client).

The bound in the test is as it was, and a rule sees what came later still. A new test forces both; without the change both cases fail.

--- a/mapleshunt/rig/clients.py
+++ b/mapleshunt/rig/clients.py
@@ -108,42 +108,48 @@
             task.add_done_callback(self.tasks.discard)
 
     async def _send(self, one: TryRecord, name: str) -> tuple[Final, float]:
-        """Send a try and wait for its end as its client sees it, and the advised wait."""
+        """Send a try and wait for its end as its client sees it, and the advised wait.
+
+        By the protocol its patience counts from the sending: for how long the connection came up is nothing
+        that a gateway could know. It listens for as much longer as every limit is on sockets, since a machine
+        that stands still for some ms is no gateway that does not answer; such an answer earns nothing.
+        """
         fleet = self.fleet
-        command = fleet.command(one, name)
-        try:
-            async with asyncio.timeout(one.patience / 1000):
-                for last in (False, True):
-                    link = self._link(one.gateway)
-                    try:
-                        if not link.used:
-                            await link.connect()
-                    except StreamClosedError:
-                        link.stream.close()
-                        return "unreachable", 0.0
-                    try:
-                        one.taken = True
-                        reply = await link.ask(command)
-                    except StreamClosedError:
-                        link.stream.close()
-                        if link.used and not one.attempts and not last:
-                            continue  # it was closed between two requests: once more on a new one
-                        if fleet.unwell(one.gateway) or not link.used:
-                            return "failed", 0.0
-                        fleet.watchman.lost(one)
-                        return "failed", 0.0
-                    except (resp.ProtocolError, TooLong):
-                        link.stream.close()
-                        self.strange += 1
-                        fleet.watchman.lost(one)
-                        return "failed", 0.0
-                    link.used, link.at = True, asyncio.get_running_loop().time()
-                    self.idle[one.gateway].append(link)
-                    return self._read(one, name, reply)
-        except TimeoutError:
-            link.stream.close()
-            fleet.late.append(one)
-            return "late", 0.0
+        command, slack = fleet.command(one, name), fleet.day.rules.answer_slack
+        for last in (False, True):
+            link = self._link(one.gateway)
+            try:
+                if not link.used:
+                    async with asyncio.timeout(one.patience / 1000):
+                        await link.connect()
+            except (StreamClosedError, TimeoutError):
+                link.stream.close()
+                return "unreachable", 0.0
+            one.taken, sent = True, fleet.clock.now()
+            try:
+                async with asyncio.timeout((one.patience + slack) / 1000):
+                    reply = await link.ask(command)
+            except TimeoutError:
+                link.stream.close()
+                fleet.late.append(one)
+                return "late", 0.0
+            except StreamClosedError:
+                link.stream.close()
+                if link.used and not one.attempts and not last:
+                    continue  # it was closed between two requests: once more on a new one
+                if fleet.unwell(one.gateway) or not link.used:
+                    return "failed", 0.0
+                fleet.watchman.lost(one)
+                return "failed", 0.0
+            except (resp.ProtocolError, TooLong):
+                link.stream.close()
+                self.strange += 1
+                fleet.watchman.lost(one)
+                return "failed", 0.0
+            link.used, link.at = True, asyncio.get_running_loop().time()
+            self.idle[one.gateway].append(link)
+            told, wait = self._read(one, name, reply)
+            return (told, wait) if fleet.clock.now() - sent <= one.patience else ("late", 0.0)
         return "failed", 0.0
 
     def _read(self, one: TryRecord, name: str, reply: resp.Reply) -> tuple[Final, float]:
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import subprocess
 import sys
 from dataclasses import replace
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
-from mapleshunt.model.day import Scenario, day_of, sized
+from mapleshunt.model.day import Rules, Scenario, day_of, sized
+from mapleshunt.model.record import TryRecord
 from mapleshunt.model.scenarios import SCENARIOS
 from mapleshunt.record import form
-from mapleshunt.rig import fleet, summary
+from mapleshunt.rig import clients, fleet, summary
+from mapleshunt.rig.clock import Clock
 from mapleshunt.rig.gateways import GatewayFailed
 from mapleshunt.world.faults import Fault
 
@@ -51,7 +55,7 @@
     assert not any(score.rules.values()), score.stories
     tries = found.watchman.tries
     assert any(t.gateway == 1 and t.taken and t.answer is None for t in tries), "nothing was open at the kill"
-    # A client whose connection came up late gives up by as much before the gateway does: a few at most.
+    # A machine that stands still may keep the gateway from a few answers until their clients have gone.
     silent = [t for t in tries if t.taken and t.gateway == 0 and t.answer is None]
     assert all(t in found.late for t in silent) and len(silent) <= len(tries) / 100
     assert any(t.gateway == 1 and t.answer is not None and t.sent > 1700 for t in tries), "it is back"
@@ -62,6 +66,46 @@
     assert summary.exactly_once(found) is False  # the kill left some without an answer, and that shows
 
 
+@pytest.mark.parametrize(
+    ("patience", "connecting", "answering", "told"),
+    [(1000.0, 0.6, 0.7, "refused"), (200.0, 0.0, 0.4, "late")],
+    ids=["counted_from_the_sending", "after_its_patience_and_within_the_slack"],
+)
+def test_an_answer_counts_by_the_time_since_the_request_was_sent(
+    monkeypatch: pytest.MonkeyPatch, patience: float, connecting: float, answering: float, told: str
+) -> None:
+    async def gateway(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readline()
+        await asyncio.sleep(answering)
+        writer.write(b"-BUSY 7\r\n")
+        await reader.read()
+        writer.close()
+
+    async def connect(link: clients.Link) -> None:
+        await asyncio.sleep(connecting)
+        await really(link)
+
+    really = clients.Link.connect
+    monkeypatch.setattr(clients.Link, "connect", connect)
+
+    async def play() -> tuple[Any, Any, Any]:
+        server = await asyncio.start_server(gateway, "127.0.0.1", 0)
+        heard: list[str] = []
+        day: Any = SimpleNamespace(
+            gateways=[SimpleNamespace(port=server.sockets[0].getsockname()[1])], clock=Clock(), late=[],
+            day=SimpleNamespace(rules=Rules(answer_slack=2000.0)), command=lambda *_: b"PING\r\n",
+            watchman=SimpleNamespace(answered=lambda one, final, at: heard.append(final)),
+        )  # fmt: skip
+        one: Any = TryRecord(1, SimpleNamespace(), 1, 0, 0.0, patience)  # type: ignore[arg-type]
+        found = clients.Clients(day)
+        ended = await found._send(one, "x")
+        found.drop(0)
+        server.close()
+        return ended[0], heard, day.late
+
+    assert asyncio.run(play()) == (told, ["refused"], [])
+
+
 def test_a_silent_machine_is_left_alone_and_found_again(tmp_path: Path) -> None:
     fault = Fault(500, "silent", 1500, (0,))
     day = day_of(scenario(fault, seconds=5.0, fixed={"silent_notice_ms": 5000, "add_ms": 100}), 6)
