Answer what is taken after SIGTERM before the process may be killed, and see floods' clients go

Seen: a request that came 0.9 s after SIGTERM on a connection on which an answer was owed, and hung at its till server, was told to wait its whole 2 s: its answer was due 2.9 s after SIGTERM, while SIGKILL may come 0.7 s past the longest deadline, at 2.7 s, and what it finds unanswered and came more than 0.7 s after SIGTERM is lost. Ruled out by reading: what comes later than 1.5 s is refused at once, and idle connections have ended by 0.5 s. Lines at fault: client.py _take, which knew of no end, and Program.leave. Change: Life.last_answer, one figure from the protocol, bounds the patience of what is taken.

Seen: a client that sent 6,144 commands and 4 MB more and went was never found gone: with 4096 refused nothing was read, and its end stands behind what is unread; its 32 requests were sent on. Change: beyond that the connection takes no more and reads on, with 1 ms between two reads, not 50: the pauses add up to 0.2 s at most in the test. A client that reads none of its answers is still read no further: it is seen by its reset.

Tests: test_rare_moments what_is_taken_late (fails without), test_client sends_without_end (hangs without), the state machine of Life.

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -432,7 +432,9 @@
     async def leave(self) -> None:
         """Go on for a little, since the front learns late; then finish what was taken."""
         succeeded = self.succession is not None and self.succession.succeeded()
+        longest = max((cls.deadline for cls in self.config.settings.classes.values()), default=0.0) / 1000
         self.life.leave(self.time(), succeeded)
+        self.service.ends = self.life.last_answer(longest)
         log.say("stopping", open=len(self.driver.open), succeeded=succeeded)
         while self.life.accepts(self.time()):
             await asyncio.sleep(0.01)
@@ -446,9 +448,8 @@
             listener.close()
         self.tend()
         self.keep_tending()
-        longest = max((cls.deadline for cls in self.config.settings.classes.values()), default=0.0)
         try:
-            async with asyncio.timeout(longest / 1000 + LATE):
+            async with asyncio.timeout(longest + LATE):
                 while self.service.connections or self.driver.open:
                     await asyncio.sleep(0.01)
         except TimeoutError:  # a client that does not read must not hold up the restart
--- a/mapleshunt/duty/life.py
+++ b/mapleshunt/duty/life.py
@@ -17,6 +17,9 @@
 # s after which a connection with an answer owed is not read any further: with what it holds answered it can
 # end. The operators want none with a request of the last 2 s left after 4 s.
 LAST_CALL = 1.5
+# s past the longest deadline, which counts as `KILL_MOST` at most, at which a process that was told to end
+# may be killed, by the protocol. What it took late has to have its answer by then, and has it `EARLY` before.
+KILL, KILL_MOST, EARLY = 0.7, 3.0, 0.2
 
 
 class Life:
@@ -26,6 +29,7 @@
         self.phase: Phase = "starting"
         self.since = -math.inf  # when the phase began
         self.succeeded = False  # another process takes the clients by the same address
+        self.told_to_leave = math.inf
 
     def _enter(self, phase: Phase, now: float) -> bool:
         if self.phase == "leaving" or self.phase == phase:
@@ -48,7 +52,7 @@
         # One that was drained is emptied already: nobody waits for more.
         if not self._enter("leaving", self.since if self.phase == "drained" else now):
             return False
-        self.succeeded = succeeded
+        self.succeeded, self.told_to_leave = succeeded, now
         return True
 
     # What that means
@@ -73,6 +77,12 @@
             return True
         return self.phase in ("drained", "leaving") and now - self.since >= STAY
 
+    def last_answer(self, longest: float) -> float:
+        """When the last answer has to be given to what comes once it was told to leave; inf before that.
+        `longest` is the longest deadline, in s.
+        """
+        return self.told_to_leave + min(longest, KILL_MOST) + KILL - EARLY
+
     def reads(self, now: float) -> bool:
         """Is a connection read on while an answer is owed on it?"""
         return self.phase not in ("drained", "leaving") or now - self.since < LAST_CALL
--- a/mapleshunt/net/client.py
+++ b/mapleshunt/net/client.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import random
 import select
 import socket
@@ -34,6 +35,7 @@
 PACE = 0.05  # s before the next command is taken after such a one
 AT_ONCE = 1.0  # ms after which one that is turned away by this connection's state may ask on another
 LOOK = 0.05  # s between two looks whether a client is still there that sent more than is read ahead
+BREATH = 0.001  # s for the others between two reads of what is refused or thrown away, however much it is
 WASTE = bytearray(16 * CHUNK)  # where bytes go that nobody will read; shared, for they are never looked at
 
 
@@ -49,6 +51,7 @@
         self.ids: set[str] = set()  # of the requests that are open
         self.ready: Callable[[], bool] = lambda: True
         self.finishing = 0  # of the connections: those that only wait for their clients to end them
+        self.ends = math.inf  # on the loop's clock: by then all that is taken from now on has its answer
         self.draining = False  # a connection ends as soon as nothing is owed on it
         self.deaf = False  # what comes on one behind its first command is refused
         self.ended: Callable[[], None] = lambda: None  # told of each connection that gives up its place
@@ -159,9 +162,9 @@
                 elif self.paused and self.buffer.end - self.buffer.start >= self.buffer.limit - CHUNK:
                     if self._hung_up():  # its end stands behind what is not read
                         return self.end("client_closed")
-                    if self.paused == "room" and len(self.slots) < MOST_REFUSED:
+                    if self.paused == "room":
                         self._refuse_ahead()
-                    await asyncio.sleep(LOOK)
+                    await asyncio.sleep(LOOK if self.paused == "writing" else BREATH)
                 else:
                     await self._read()
                     self._take_whole()
@@ -186,8 +189,11 @@
 
     def _refuse_ahead(self) -> None:
         """More came than is read ahead. What was read of it is refused: only by reading on is it seen that
-        the client of a flood has gone.
+        the client of a flood has gone. Of one that does not stop nothing further is taken.
         """
+        if len(self.slots) >= MOST_REFUSED:
+            self.service.counters.add("floods_ended")
+            return self._last(resp.error("ERR too many commands at once"), "flood")
         try:
             while found := resp.parse_command(self.buffer.data, self.buffer.start, self.buffer.end):
                 self.consumed += found[1] - self.buffer.start
@@ -203,7 +209,7 @@
         reset can take the last answer from the client.
         """
         await self.stream.read_into(WASTE, partial=True)
-        await asyncio.sleep(PACE / 10)  # it may go on at full speed: the others come first
+        await asyncio.sleep(BREATH)  # it may go on at full speed: the others come first
 
     def _hung_up(self) -> bool:
         """Has the client ended its side, whatever stands unread before that?"""
@@ -286,8 +292,11 @@
             return True
         try:
             intake = svc.intake(words)
-            if (waited := (self.loop.time() - arrived) * 1000) >= 1:  # behind others: its time runs already
-                intake = replace(intake, patience=max(1.0, intake.patience - waited))
+            # Behind others its time runs already, and it ends with the process.
+            now = self.loop.time()
+            left = min(intake.patience - (now - arrived) * 1000, (self.service.ends - now) * 1000)
+            if left <= intake.patience - 1:
+                intake = replace(intake, patience=max(1.0, left))
             ref, ids = next(self.service.refs), self.service.ids
             context = take_in(intake, slot, driver.settings, ref, driver.now(), ids)
         except (svc.BadCommand, Unacceptable) as error:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import socket
+import threading
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
@@ -325,6 +326,37 @@
     play(steps)
 
 
+def test_client_that_sends_without_end_and_goes_is_seen_to_go(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Beyond what is refused nothing was read, and its requests were sent on for as long as they waited.
+    async def steps(_: client.ClientConnection, __: socket.socket) -> None:
+        decisions, (ours, theirs) = Decisions(), tcp_pair()
+        slept = list[float]()
+
+        async def sleep(delay: float) -> None:
+            slept.append(delay)
+            await rested(0)
+
+        service = client.Service(cast(Driver, decisions), decisions.counters, 1, 1000)
+        service.serve(IOStream(ours))
+        theirs.setblocking(True)
+        flood = b"".join(query() for _ in range(3 * client.MOST_REFUSED // 2)) + bytes(1 << 22)
+
+        def send() -> None:
+            theirs.sendall(flood)
+            theirs.close()
+
+        sending, rested = threading.Thread(target=send), asyncio.sleep
+        monkeypatch.setattr(asyncio, "sleep", sleep)
+        sending.start()
+        await until(lambda: not service.connections)
+        monkeypatch.undo()
+        sending.join()
+        assert len(decisions.left) == client.MOST_PENDING == len(decisions.open)
+        assert sum(slept) <= 0.2, "that is how long it went on beside what the reading takes"
+
+    play(steps)
+
+
 def test_time_of_a_command_that_waited_behind_others_has_run_meanwhile(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 
 from hypothesis import settings
@@ -9,7 +10,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from mapleshunt.duty.figures import text_of
-from mapleshunt.duty.life import LAST_CALL, STAY, Life
+from mapleshunt.duty.life import EARLY, KILL, KILL_MOST, LAST_CALL, STAY, Life
 
 
 class LifeMachine(RuleBasedStateMachine):
@@ -55,6 +56,9 @@
             emptying = before[1]
         gone = self.now - emptying if emptying is not None else -1.0
         succeeded = last[0] == "leave" and last[2]
+        left = last[1] if last[0] == "leave" else math.inf
+        assert self.life.last_answer(2.0) == left + 2.0 + KILL - EARLY
+        assert self.life.last_answer(10.0) == left + KILL_MOST + KILL - EARLY
         assert self.life.takes() == working
         assert self.life.wanted() == (working or succeeded)
         assert self.life.closes(self.now) == (succeeded or gone >= STAY)
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import resource
 import signal
 import socket
 import subprocess
+import time
 from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
-from .processes import EXAMPLE, PING, PONG, free_port, query, replies, run
+from mapleshunt.net import resp
+
+from .processes import EXAMPLE, ONE, PING, PONG, free_port, query, replies, run
 
 
 @contextlib.contextmanager
@@ -38,10 +43,11 @@
 def started(discovery: int, *events: str, **env: str) -> tuple[subprocess.Popen[str], int]:
     """A gateway, once it takes clients and has logged the events."""
     port = free_port()
-    process = run(
-        "-m", "mapleshunt", PROXY_CONFIG=str(EXAMPLE), PROXY_DISCOVERY=f"127.0.0.1:{discovery}",
-        PROXY_LISTEN=f"127.0.0.1:{port}", **env,
-    )  # fmt: skip
+    names = {
+        "PROXY_CONFIG": str(EXAMPLE), "PROXY_DISCOVERY": f"127.0.0.1:{discovery}",
+        "PROXY_LISTEN": f"127.0.0.1:{port}", **env,
+    }  # fmt: skip
+    process = run("-m", "mapleshunt", **names)
     logged(process, "started", *events)
     return process, port
 
@@ -102,3 +108,41 @@
         for one in (process, toy):
             one.kill()
             one.communicate()
+
+
+def came(listener: socket.socket, number: int) -> dict[bytes, bytes]:
+    """What a try at that request says of itself, at a till server that takes commands and answers nothing."""
+    while True:
+        data, one = bytearray(), listener.accept()[0]
+        while not (read := resp.parse_command(data, 0, len(data))):
+            data = data + one.recv(65536)
+        if bytes(read[0][2]) == b"%016x" % number:
+            return dict(pair.split(b"=") for pair in bytes(read[0][3]).split(b","))
+
+
+def test_what_is_taken_late_has_its_answer_before_the_process_may_be_killed(tmp_path: Path) -> None:
+    """SIGKILL may come 0.7 s past the longest deadline, 2 s here, after SIGTERM. What came more than 0.7 s
+    after that and hung at its till server had its answer too late.
+    """
+    with socket.create_server(("127.0.0.1", 0)) as till:
+        till.settimeout(20)
+        member = {"id": "hangs", "host_port": f"127.0.0.1:{till.getsockname()[1]}", "phase": "Ready"}
+        known = {"revision": 1, "complete": True, "members": [member]}
+        (tmp_path / "config.json").write_text(json.dumps({**json.loads(EXAMPLE.read_text()), "known": known}))
+        process, port = started(1, PROXY_CONFIG=str(tmp_path / "config.json"))
+        try:
+            with socket.create_connection(("127.0.0.1", port), timeout=20) as client:
+                client.sendall(query(1, ONE.replace(b"d=5000", b"d=2000")))
+                came(till, 1)  # it hangs
+                process.send_signal(signal.SIGTERM)
+                logged(process, "stopping")
+                time.sleep(0.9)  # the connection stays open, for an answer is owed on it
+                client.sendall(query(2, ONE.replace(b"d=5000", b"d=2000")))
+                # It is told to wait until 0.2 s before that, however late this machine is.
+                assert float(came(till, 2)[b"d"]) <= 2500 - 900
+                assert len(replies(client, 2)) == 2
+            process.communicate(timeout=30)
+            assert process.returncode == 0
+        finally:
+            process.kill()
+            process.communicate()
