Tell the decisions how a try ended whose client left between two actions of one decision

Read, then forced: one decision refuses a request and sends on another of the same client. The refusal is written, the connection's write buffer is full (slow_client), the connection ends and the other request is given up, all within the first action. Driver._send found it forgotten, counted sends_too_late, and the decisions were never told how the try ended: Server.out kept it for good, with its slot and as silence of that till server. Ruled out: a reset met by the write, which IOStream tells in a later step; book and the guard, which feed when idle. Change: a client's leaving is forgotten when its event is handled, so what was decided before finds the request ended and books the try as unsent. Test: test_driver client_that_leaves_between_two_actions (fails without).

--- a/mapleshunt/net/driver.py
+++ b/mapleshunt/net/driver.py
@@ -71,8 +71,7 @@
         if context.end():
             self.counters.add("clients_gone")
             self._story("client_gone", context)
-            self.forget(context)
-            self.feed(i.ClientGone(context.ref))
+            self.feed(i.ClientGone(context.ref))  # forgotten as it is handled: what was decided comes first
             self.over(context)
 
     def _story(self, event: str, context: RequestContext) -> None:
@@ -112,6 +111,8 @@
             self.busy = False
 
     def _handle(self, event: i.Event) -> None:
+        if isinstance(event, i.ClientGone):
+            self.open.pop(event.ref, None)
         try:
             actions = self.gateway.handle(self.now(), event)
         except Exception:
@@ -185,6 +186,8 @@
             self.counters.add("sends_too_late")
             return
         attempt = route(context, action, self.now())
+        if not context.open:  # its client left while an action before this one was carried out
+            return book(context, attempt, Ending("unsent"), self)
         self.out[context.ref, attempt.number] = attempt
         self.counters.add("tries_sent")
         if self.sent is not None and not attempt.number:
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -86,6 +86,28 @@
         await asyncio.sleep(0.001)
 
 
+def test_client_that_leaves_between_two_actions_of_one_decision_leaves_no_try_out() -> None:
+    """Refusing one of its requests finds the connection closed, and the other is sent on by the next action:
+    the decisions were never told how that try ended, and kept its slot at the till server for good.
+    """
+
+    async def steps(driver: Driver, decisions: Scripted) -> None:
+        refused, _ = ask(driver, 1)
+        refused.answer.reject = lambda wait: driver.gone(sent)  # type: ignore[method-assign]
+        sent, told = ask(driver, 2)
+        driver.feed(Timer(0))
+        gone, ended = decisions.told[-2:]
+        assert gone == ClientGone(2) and isinstance(ended, Outcome)
+        assert (ended.ref, ended.attempt, ended.server) == (2, 0, 7)
+        assert ended.status == "unsent" and ended.closed
+        assert not driver.open and not driver.out and not told.answers
+
+    def does(event: Event) -> list[Any]:
+        return [Refuse(1), Send(2, 7)] if isinstance(event, Timer) else []
+
+    play(does, steps)
+
+
 def test_request_the_decisions_forget_is_answered_before_its_client_gives_up() -> None:
     async def steps(driver: Driver, decisions: Scripted) -> None:
         context, told = ask(driver, patience=GUARD + 10)
