Let no SIGHUP end a gateway that starts, and heed one that came while it read its settings

Seen: SIGHUP sent 0, 20, 50 or 100 ms after the start ended the process by signal 1, which is a crash; from 150 ms on it was reloaded. Until the loop has its handler the signal has its default action, and one between the reading of the file and the handler would have been missed. Ruled out: later steps (handler in place before the first wait).

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -73,6 +73,7 @@
         self.tending = PeriodicCallback(self.tend, TEND_EVERY)
         self.watching: asyncio.Task[None] | None = None
         self.revision: int | None = None  # of the list known
+        self.told_early: list[int] = []  # SIGHUPs since before the configuration was read
         self.peers: Peers | None = None
         self.stopped = asyncio.Event()
         self.life = Life()
@@ -390,6 +391,8 @@
         loop = asyncio.get_running_loop()
         self.prepare()
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if self.told_early:  # the file may be another since
+            self.reload()
         loop.add_signal_handler(signal.SIGTERM, self.stopped.set)
         loop.add_signal_handler(signal.SIGINT, self.stopped.set)
         loop.add_signal_handler(signal.SIGUSR1, self.print_counters)
@@ -468,16 +471,21 @@
     return 1 << 20 if soft == resource.RLIM_INFINITY else soft
 
 
-async def _main(config: Config) -> None:
-    await Program(config).run()
+async def _main(config: Config, told_early: list[int]) -> None:
+    program = Program(config)
+    program.told_early = told_early
+    await program.run()
 
 
 def daemon() -> int:
     """Run the gateway until it is told to end; its exit status."""
     log.set_up()
+    told_early: list[int] = []
+    # Until the loop has it, SIGHUP would end the program. Up to here it is ignored: the deploy file's `run`.
+    signal.signal(signal.SIGHUP, lambda number, _frame: told_early.append(number))
     try:
         config = load()
-        uvloop.run(_main(config))
+        uvloop.run(_main(config, told_early))
     except ConfigError as error:
         print(f"mapleshunt: {error}", file=sys.stderr)
         return 2
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -210,4 +210,6 @@
 
 def test_run_ends_in_one_process() -> None:
     deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
-    assert deploy["run"].startswith("exec ") and deploy["sim"].startswith("exec ")
+    # Before it the shell may only set what it ignores itself, which starts no process.
+    assert re.fullmatch(r"(trap '' HUP; )?exec [^;&|`$()]+", deploy["run"])
+    assert re.fullmatch(r"exec [^;&|`$()]+", deploy["sim"])
--- a/tests/test_rare_moments.py
+++ b/tests/test_rare_moments.py
@@ -4,19 +4,23 @@
 
 import contextlib
 import json
+import os
 import resource
 import signal
 import socket
 import subprocess
+import sys
 import time
+import tomllib
 from collections.abc import Iterator
 from pathlib import Path
+from typing import TextIO
 
 import pytest
 
 from mapleshunt.net import resp
 
-from .processes import EXAMPLE, ONE, PING, PONG, free_port, query, replies, run
+from .processes import EXAMPLE, LONG, ONE, PING, PONG, ROOT, free_port, query, replies, run
 
 
 @contextlib.contextmanager
@@ -146,3 +150,44 @@
         finally:
             process.kill()
             process.communicate()
+
+
+def test_sighup_at_any_step_of_a_start_is_heeded_and_ends_nothing(tmp_path: Path) -> None:
+    """Until the loop had it, it ended the program. It is started as the deploy file says."""
+    config, text = tmp_path / "config", EXAMPLE.read_text()
+    os.mkfifo(config)  # who reads it waits for what is written: each step is held until the test goes on
+    words = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    env = {**os.environ, "PROXY_CONFIG": str(config), "PROXY_LISTEN": f"127.0.0.1:{free_port()}"}
+    process = subprocess.Popen(
+        ["sh", "-c", words.replace(".venv-run/bin/python", sys.executable)], cwd=ROOT, env=env, text=True,
+        stdout=subprocess.PIPE, stderr=subprocess.PIPE,
+    )  # fmt: skip
+
+    @contextlib.contextmanager
+    def read() -> Iterator[TextIO]:
+        """It has come to read its configuration."""
+        end = time.monotonic() + LONG
+        while True:
+            assert process.poll() is None and time.monotonic() < end
+            with contextlib.suppress(OSError):
+                descriptor = os.open(config, os.O_WRONLY | os.O_NONBLOCK)
+                break
+        with os.fdopen(descriptor, "w") as file:
+            yield file
+            config.unlink()
+            os.mkfifo(config)  # for the next time: it has not read this one to its end yet
+
+    try:
+        begun = sys.executable.encode() + b"\0"
+        while not Path(f"/proc/{process.pid}/cmdline").read_bytes().startswith(begun):
+            assert process.poll() is None
+        process.send_signal(signal.SIGHUP)  # nothing of it has run yet
+        with read() as file:
+            process.send_signal(signal.SIGHUP)
+            file.write(text.replace("127.0.0.1:8500", "127.0.0.1:1"))
+        with read() as file:
+            file.write(text.replace("127.0.0.1:8500", "127.0.0.1:2"))
+        logged(process, "reloaded discovery=127.0.0.1:2", "started")
+    finally:
+        process.kill()
+        process.communicate()
