Force a client's leaving into the step in which its answer is read, in either order

Both orders on real sockets: one end is told to the decisions, nothing is answered, no connection is kept. Held before; a test only.

--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -10,6 +11,7 @@
 import pytest
 
 from mapleshunt import (
+    Cancel,
     ClientGone,
     Event,
     Fail,
@@ -28,7 +30,7 @@
 from mapleshunt.net.stages import relay
 from mapleshunt.net.stages.admit import admit
 from mapleshunt.net.svc import SvcMessage
-from mapleshunt.net.upstream import UpstreamGroup
+from mapleshunt.net.upstream import Member, UpstreamGroup
 
 from .conftest import CLASSES, PLANS
 
@@ -86,6 +88,47 @@
         await asyncio.sleep(0.001)
 
 
+@pytest.mark.parametrize(("first", "status"), [("answer", "ok"), ("client", "cancelled")])
+def test_client_that_leaves_in_the_step_in_which_its_answer_is_read(
+    monkeypatch: pytest.MonkeyPatch, first: str, status: str
+) -> None:
+    async def steps(driver: Driver, decisions: Scripted) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            member = Member("s-1", listener.getsockname(), "", 0, "ready", 0.0)
+            driver.group.update("complete", [member])
+            context, told = ask(driver)
+            with (await asyncio.to_thread(listener.accept))[0] as server:
+                await asyncio.to_thread(server.recv, 65536)
+                connection: Any = driver.out[1, 0].connection
+                reads = connection._take_reply
+
+                def both() -> None:  # the bytes have come, and so has the client's end
+                    if first == "client":
+                        driver.gone(context)
+                    reads()
+                    driver.gone(context)
+
+                monkeypatch.setattr(connection, "_take_reply", both)
+                server.send(b"*1\r\n$1\r\nv\r\n")
+                while driver.out:
+                    await asyncio.sleep(0)
+            gone, ended = decisions.told[1:]
+            assert gone == ClientGone(1) and isinstance(ended, Outcome)
+            assert (ended.status, ended.closed) == (status, True)
+            assert not (told.answers or driver.open or driver.group.connections)
+            assert not driver.counters.counts["exceptions"]
+
+    def does(event: Event) -> list[Any]:
+        match event:
+            case Request(ref):
+                return [Send(ref, Member("s-1", ("", 0), "", 0, "ready", 0.0).number)]
+            case ClientGone(ref):
+                return [Cancel(ref, 0)]
+        return []
+
+    play(does, steps)
+
+
 def test_client_that_leaves_between_two_actions_of_one_decision_leaves_no_try_out() -> None:
     """Refusing one of its requests finds the connection closed, and the other is sent on by the next action:
     the decisions were never told how that try ended, and kept its slot at the till server for good.
