--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -106,6 +106,18 @@
     assert asyncio.run(play()) == (told, ["refused"], [])
 
 
+@pytest.mark.parametrize("bad", [False, True])
+def test_on_a_quiet_day_quotas_hold_over_all_gateways(tmp_path: Path, bad: bool) -> None:
+    """0.1 more than a policy that sees all, if late, is allowed; here against none. A program that lets all in
+    as its view goes shows that the day would tell.
+    """
+    day = day_of(sized(SCENARIOS["quiet"], gateways=3, servers=4, seconds=5.0), 2)
+    program = checkout(tmp_path, ("control.py", "lack > 0 or 0 <", "0 <")) if bad else ROOT
+    _, score = fleet.play(day, tmp_path / "logs", program)
+    assert not any(score.rules.values()), score.stories
+    assert (score.penalties["over_quota"] > 0.1) is bad and score.service > 0.9
+
+
 def test_a_silent_machine_is_left_alone_and_found_again(tmp_path: Path) -> None:
     fault = Fault(500, "silent", 1500, (0,))
     day = day_of(scenario(fault, seconds=5.0, fixed={"silent_notice_ms": 5000, "add_ms": 100}), 6)
