--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -108,8 +108,8 @@
 
 @pytest.mark.parametrize("bad", [False, True])
 def test_on_a_quiet_day_quotas_hold_over_all_gateways(tmp_path: Path, bad: bool) -> None:
-    """0.1 more than a policy that sees all, if late, is allowed; here against none. A program that lets all in
-    as its view goes shows that the day would tell.
+    """0.1 more than a policy that sees all, if late, is allowed; here against none. A program that lets in
+    whoever its view refuses shows that the day would tell.
     """
     day = day_of(sized(SCENARIOS["quiet"], gateways=3, servers=4, seconds=5.0), 2)
     program = checkout(tmp_path, ("control.py", "lack > 0 or 0 <", "0 <")) if bad else ROOT
