Free the places of those that rest before the listener closes, for what the kernel has accepted

Read, then forced: with all places taken the gateway stops accepting; a connection that was answered and rests keeps its place for up to 0.2 s more. A SIGTERM whose 0.5 s end then closes the listener over connections that the kernel has accepted, though a place was to be had: each is reset, with the request it carries. Change: Program.leave ends those that rest first and takes what waits for as long as there is room, whether or not accepting had been paused. Test: test_listening request_that_the_kernel_accepted[True] (a reset without).

--- a/mapleshunt/__main__.py
+++ b/mapleshunt/__main__.py
@@ -441,10 +441,11 @@
         log.say("stopping", open=len(self.driver.open), succeeded=succeeded)
         while self.life.accepts(self.time()):
             await asyncio.sleep(0.01)
-        # What the kernel has accepted may carry a request; the close of its listener would reset it. Of
-        # one that another process has too, that process takes the rest.
+        self.tend()
+        # What the kernel has accepted may carry a request; the close of its listener would reset it. The
+        # places of those that rested are free now. Of one that another process has too, that takes the rest.
         for acceptor in self.acceptors if self.config.accept_fd is None else ():
-            while self.accepting and acceptor.accept():
+            while self.room() and acceptor.accept():
                 pass
         self.stop_accepting()
         for listener in self.listeners:
--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -60,23 +60,34 @@
     return Program(config.parse(json.dumps(text), env))
 
 
+@pytest.mark.parametrize("full", [False, True])
 def test_request_that_the_kernel_accepted_before_the_listener_closes_is_answered(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, full: bool
 ) -> None:
-    # It stood in the kernel's queue, and the listener's close reset it.
+    # It stood in the kernel's queue, and the listener's close reset it; also where one that rests had its
+    # place.
     async def run() -> bytes:
         one = program()
         task = asyncio.create_task(one.run())
         await until(lambda: one.accepting)
+        if full:
+            one.most_clients = 1
+            resting = socket.create_connection(one.listeners[0].getsockname())
+            resting.sendall(PING)
+            await until(lambda: any(c.wrote for c in one.service.connections))
+            one.stop_accepting()
         late = socket.create_connection(one.listeners[0].getsockname())
         late.setblocking(False)
         late.send(PING)
         for acceptor in one.acceptors:  # the loop does not get to it
             acceptor.stop()
         monkeypatch.setattr(one.life, "accepts", lambda now: False)
+        monkeypatch.setattr(one.life, "closes", lambda now: True)
         one.stopped.set()
         data = await asyncio.get_running_loop().sock_recv(late, 100)
         late.close()
+        if full:
+            resting.close()
         await task
         return data
 
