Force two moves of discovery in a row across an answer of the first agent

On real sockets: the first agent's list comes as SIGHUP moves discovery twice, unread, or read while the task that waits for it has not had its turn. Only the third agent's list is told.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,13 +7,20 @@
 import json
 import random
 import resource
+from typing import cast
 
 import pytest
+from tornado.iostream import IOStream
 
+from mapleshunt.__main__ import Program
+from mapleshunt.net import config
 from mapleshunt.net.backoff import SILENCE, TOLD, WAIT, Backoff
+from mapleshunt.net.buffer import ReadBuffer
 from mapleshunt.net.counters import Counters
 from mapleshunt.net.discovery import Discovery, MemberList
 
+from .processes import EXAMPLE
+
 
 class Prompt(Backoff):
     """Calls again at once: what is asked is looked at, not when."""
@@ -197,6 +204,53 @@
         "/catalog/members?index=41&wait=0", "/catalog/members", "/catalog/members?index=31&wait=0"]
 
 
+@pytest.mark.parametrize("read", [False, True])
+def test_what_an_agent_tells_that_is_no_longer_asked_changes_nothing(
+    monkeypatch: pytest.MonkeyPatch, read: bool
+) -> None:
+    """SIGHUP moves discovery twice in a row, while the first one's answer comes: before it is read, and
+    between its reading and the turn of the task that waits for it.
+    """
+    told: list[int] = []
+
+    async def run() -> None:
+        agents = [Agent() for _ in range(3)]
+        servers = [await agent.start() for agent in agents]
+        first, second, third = (server.sockets[0].getsockname() for server in servers)
+        program = Program(config.parse(EXAMPLE.read_text(), {"PROXY_LISTEN": "127.0.0.1:0"}))
+        monkeypatch.setattr(program, "told", lambda found: told.append(found.revision))
+
+        def move(*_: object) -> None:
+            program.watch(second)
+            program.watch(third)
+
+        async def fill(buffer: ReadBuffer, stream: IOStream) -> None:
+            reading = asyncio.ensure_future(stream.read_into(cast(bytearray, buffer.room()), partial=True))
+            if not crossed:  # before the task, which waits for it only now
+                crossed.append(True)
+                reading.add_done_callback(move)
+            buffer.end += await reading
+
+        crossed = [] if read else [True]
+        monkeypatch.setattr(ReadBuffer, "fill", fill)
+        program.watch(first)
+        _, writer = await agents[0].calls.get()
+        writer.write(answer(1, True))
+        await writer.drain()
+        if not read:
+            move()
+        (await agents[2].calls.get())[1].write(answer(3, True))
+        while not told:
+            await asyncio.sleep(0)
+        assert program.watching is not None
+        program.watching.cancel()
+        for server in servers:
+            server.close()
+
+    asyncio.run(run())
+    assert told == [3]
+
+
 LOST = ("silent", "reset", "refused", "moved")
 
 
