Take classes and plans by whatever names the settings give them, not ASCII ones alone

Read: the settings are JSON, and a class or plan of another deployment may be named in any script; names and values of a command were read as ASCII, so every such request was answered with an error line. They are read and passed on as UTF-8 now; what is neither is refused as before. Test: test_client names_of_another_deployment (refused without).

--- a/mapleshunt/net/svc.py
+++ b/mapleshunt/net/svc.py
@@ -30,14 +30,14 @@
 
     def encode(self, wait: int) -> bytes:
         pairs = ",".join([f"{name}={wait if name == 'd' else value}" for name, value in self.pairs.items()])
-        return resp.command([*self.words[:3], pairs.encode("ascii"), *self.words[4:]])
+        return resp.command([*self.words[:3], pairs.encode(), *self.words[4:]])
 
 
 def _pairs(word: memoryview) -> dict[str, str]:
     try:
-        text = str(word, "ascii")
+        text = str(word, "utf-8")  # classes and plans are named as the settings, a JSON text, name them
     except UnicodeDecodeError:
-        raise BadCommand("names and values must be ASCII") from None
+        raise BadCommand("names and values must be UTF-8") from None
     pairs: dict[str, str] = {}
     for item in text.split(","):
         name, equals, value = item.partition("=")
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -17,7 +17,7 @@
 from tornado.iostream import IOStream
 
 from mapleshunt.interface import Settings
-from mapleshunt.net import client, resp
+from mapleshunt.net import client, resp, svc
 from mapleshunt.net.context import RequestContext
 from mapleshunt.net.counters import Counters
 from mapleshunt.net.driver import Driver
@@ -326,6 +326,17 @@
     play(steps)
 
 
+def test_names_of_another_deployment_are_taken_and_passed_on_as_they_are() -> None:
+    # What is not ASCII was refused, and with it every request of such a class or plan.
+    named = "c=kasse-öffnen,t=größe,d=480".encode()
+    words = [memoryview(word) for word in (b"SVC.QUERY", WHO, b"0" * 16, named)]
+    read = svc.intake(words)
+    assert (read.cls, read.plan) == ("kasse-öffnen", "größe")
+    assert named.replace(b"480", b"300") in read.message.encode(300)
+    with pytest.raises(svc.BadCommand):
+        svc.intake([*words[:3], memoryview(named.replace(b"\xc3", b""))])
+
+
 def test_client_that_sends_without_end_and_goes_is_seen_to_go(monkeypatch: pytest.MonkeyPatch) -> None:
     # Beyond what is refused nothing was read, and its requests were sent on for as long as they waited.
     async def steps(_: client.ClientConnection, __: socket.socket) -> None:
