--- a/mapleshunt/net/client.py
+++ b/mapleshunt/net/client.py
@@ -162,9 +162,11 @@
                 elif self.paused and self.buffer.end - self.buffer.start >= self.buffer.limit - CHUNK:
                     if self._hung_up():  # its end stands behind what is not read
                         return self.end("client_closed")
+                    before = self.consumed
                     if self.paused == "room":
                         self._refuse_ahead()
-                    await asyncio.sleep(LOOK if self.paused == "writing" else BREATH)
+                    goes_on = self.paused == "turn" or self.consumed > before
+                    await asyncio.sleep(BREATH if goes_on else LOOK)
                 else:
                     await self._read()
                     self._take_whole()
