--- a/mapleshunt/rig/clients.py
+++ b/mapleshunt/rig/clients.py
@@ -8,6 +8,7 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from ..model.day import Rules
 from ..model.record import AskRecord, Final, TryRecord
 from ..net import resp
 from ..net.buffer import ReadBuffer, TooLong
@@ -115,7 +116,7 @@
         that stands still for some ms is no gateway that does not answer; such an answer earns nothing.
         """
         fleet = self.fleet
-        command, slack = fleet.command(one, name), fleet.day.rules.answer_slack
+        command, longer = fleet.command(one, name), fleet.day.rules.answer_slack - Rules().answer_slack
         for last in (False, True):
             link = self._link(one.gateway)
             try:
@@ -125,9 +126,9 @@
             except (StreamClosedError, TimeoutError):
                 link.stream.close()
                 return "unreachable", 0.0
-            one.taken, sent = True, fleet.clock.now()
+            one.taken, one.sent = True, fleet.clock.now()
             try:
-                async with asyncio.timeout((one.patience + slack) / 1000):
+                async with asyncio.timeout((one.patience + longer) / 1000):
                     reply = await link.ask(command)
             except TimeoutError:
                 link.stream.close()
@@ -149,7 +150,7 @@
             link.used, link.at = True, asyncio.get_running_loop().time()
             self.idle[one.gateway].append(link)
             told, wait = self._read(one, name, reply)
-            return (told, wait) if fleet.clock.now() - sent <= one.patience else ("late", 0.0)
+            return (told, wait) if one.answered - one.sent <= one.patience else ("late", 0.0)
         return "failed", 0.0
 
     def _read(self, one: TryRecord, name: str, reply: resp.Reply) -> tuple[Final, float]:
