Log how a client connection ended, and each request that crosses the end

Need: the line of a close could not tell a request that was read and dropped from one that came after the last look. client_connection_ended has age, since_read, since_answer, unprocessed (bytes read, those that the stream has read ahead of its task included) and unread; request_crossed_end names a request that came on an ended connection, with its id and the time by which it came before that end; requests_crossed_REASON counts them.

--- a/mapleshunt/net/client/connection.py
+++ b/mapleshunt/net/client/connection.py
@@ -7,6 +7,7 @@
 import enum
 import functools
 import socket
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import Protocol
@@ -20,6 +21,7 @@
 from ..reasons import ClientCloseReason
 from ..request.parse import UnacceptableRequestError
 from . import limits, socket_state
+from .close_report import report_crossing
 from .requests import RequestRegistry, admit_request, parse_command
 from .response_slot import ResponseSlot
 
@@ -78,9 +80,11 @@
         self.command_count = 0
         self.unacceptable_count = 0
         # The times are seconds on the loop's clock: when it was opened, or bytes were last read or written.
-        self.last_activity_at = self.loop.time()
+        self.opened_at = self.last_activity_at = self.last_read_at = self.loop.time()
         self.command_started_at = self.last_activity_at  # when the next command's first byte was read
         self.last_write_at = 0.0  # when a response was last written
+        self.ended_at = 0.0  # s, monotonic: when our side was shut down
+        self.crossing_reported = False
         self.task: asyncio.Task[None] | None = None
         self.linger_timer: asyncio.TimerHandle | None = None
         stream.set_nodelay(True)
@@ -97,6 +101,10 @@
                     await self._wait_with_full_buffer()
                 else:
                     await self._read()
+                    if self.closing:
+                        self._report_crossing(
+                            memoryview(self.buffer.data)[self.buffer.start : self.buffer.end]
+                        )
                     self._process_commands()
             except StreamClosedError as closed:
                 reason = ClientCloseReason.CLIENT_CLOSED
@@ -130,7 +138,7 @@
         was_empty = self.buffer.start == self.buffer.end
         age_s = self._age_of_first_bytes()
         await self.buffer.fill(self.stream)
-        self.last_activity_at = self.loop.time()
+        self.last_activity_at = self.last_read_at = self.loop.time()
         if was_empty:
             self.command_started_at = self.last_activity_at
         read_bytes = self.consumed_bytes + self.buffer.end - self.buffer.start
@@ -149,9 +157,18 @@
         return min(waited_s, socket_state.seconds_since_last_data(self.stream.socket))
 
     async def _discard_input(self) -> None:
-        await self.stream.read_into(_discard_buffer(), partial=True)
+        count = await self.stream.read_into(_discard_buffer(), partial=True)
+        self._report_crossing(memoryview(_discard_buffer())[:count])
         await asyncio.sleep(limits.FLOOD_READ_PAUSE_S)  # yield to other connections during a flood
 
+    def _report_crossing(self, data: memoryview) -> None:
+        """Report the first bytes that are discarded because our side has ended."""
+        if self.crossing_reported or not self.ended_at or not data:
+            return
+        self.crossing_reported = True
+        age_s = socket_state.seconds_since_last_data(self.stream.socket) if self._raw_socket() else 0.0
+        report_crossing(self.close_reason, data, self.ended_at, age_s, self.registry.counters)
+
     # Commands
 
     def _process_commands(self) -> None:
@@ -367,6 +384,7 @@
             return  # `run` closes it
         with contextlib.suppress(OSError):
             sock.shutdown(socket.SHUT_WR)
+        self.ended_at = time.monotonic()
         self.linger_timer = self.loop.call_later(limits.LINGER_TIMEOUT_S, self.close_lingering)
         self.registry.lingering_count += 1
         self.registry.on_connection_ended()  # a lingering connection frees capacity for another
@@ -382,26 +400,39 @@
             return
         self.registry.remove(self)
         self.closing = True
-        self._check_close(reason)
+        has_unread_bytes = self.linger_timer is None and self.has_unread_bytes()
+        self._check_close(reason, has_unread_bytes)
         if self.linger_timer is not None:
             self.linger_timer.cancel()
             self.registry.lingering_count -= 1
         self.stream.close()
-        log.log_event(
-            "client_connection_ended", reason=reason, commands=self.command_count, owed=len(self.slots)
-        )
+        self._log_close(reason, has_unread_bytes)
         for slot in self.slots:
             if slot.context is not None and slot.context.awaiting_response:
                 self.registry.driver.client_disconnected(slot.context)
         self.slots.clear()
         self.registry.on_connection_ended()
 
-    def _check_close(self, reason: ClientCloseReason) -> None:
+    def _log_close(self, reason: ClientCloseReason, has_unread_bytes: bool) -> None:
+        now = self.loop.time()
+        log.log_event(
+            "client_connection_ended",
+            reason=reason,
+            commands=self.command_count,
+            owed=len(self.slots),
+            age=1000 * (now - self.opened_at),
+            since_read=1000 * (now - self.last_read_at),
+            since_answer=1000 * (now - self.last_write_at) if self.last_write_at else "none",
+            unprocessed=self.buffer.unprocessed_bytes(),
+            unread=int(has_unread_bytes),
+        )
+
+    def _check_close(self, reason: ClientCloseReason, has_unread_bytes: bool) -> None:
         trace = self.registry.counters.trace
         trace.count_close("client_connections", reason)
         contexts = [slot.context for slot in self.slots if slot.context and slot.context.awaiting_response]
         # Without a written response there is none that a reset could destroy, so unread bytes do no harm.
-        is_unread = bool(self.last_write_at) and self.linger_timer is None and self.has_unread_bytes()
+        is_unread = bool(self.last_write_at) and has_unread_bytes
         subject = contexts[0].client_request_id if contexts else "connection"
         violations = violations_of_close(reason, len(contexts), is_unread)
         trace.report_violations(Guard.CLOSE, violations, subject)
--- a/mapleshunt/net/protocol/read_buffer.py
+++ b/mapleshunt/net/protocol/read_buffer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import cast
 
 from tornado.iostream import IOStream
@@ -26,6 +27,7 @@
         self.max_bytes = max_bytes
         self.data = bytearray(CHUNK_BYTES)
         self.start = self.end = 0
+        self._pending_read: asyncio.Future[int] | None = None
 
     def free_space(self) -> memoryview:
         """Return the free part of the buffer, to be read into.
@@ -54,9 +56,24 @@
         """
         # IOStream reads into any writable buffer; its annotation names only bytearray. `end` is added to
         # afterwards: `self.end += await ...` would load it before `free_space` replaces the buffer.
-        count = await stream.read_into(cast(bytearray, self.free_space()), partial=True)
+        self._pending_read = cast(
+            "asyncio.Future[int]", stream.read_into(cast(bytearray, self.free_space()), partial=True)
+        )
+        try:
+            count = await self._pending_read
+        finally:
+            self._pending_read = None
         self.end += count
 
+    def unprocessed_bytes(self) -> int:
+        """Return the number of bytes that were read and not consumed.
+
+        The stream reads before the task that awaits `fill` runs, so these include bytes beyond `end`.
+        """
+        read = self._pending_read
+        is_read = read is not None and read.done() and not read.cancelled() and read.exception() is None
+        return self.end - self.start + (read.result() if is_read and read is not None else 0)
+
     def consume(self, end: int) -> None:
         """Discard the bytes before `end`, an index of `data`."""
         self.start = end
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -522,6 +522,7 @@
         assert (
             await asyncio.to_thread(receive_until_closed, client_end) == response and not driver.open_requests
         )
+        assert driver.counters.counts[f"requests_crossed_{reason}"] == 1
         client_end.close()
         await wait_until(lambda: connection not in connection.registry.connections)
 
--- a/tests/test_reasons.py
+++ b/tests/test_reasons.py
@@ -66,13 +66,20 @@
 
 @pytest.mark.parametrize(
     "name",
-    ["client_connections_closed_REASON", "server_connections_closed_REASON", "retries_after_STATUS"],
+    [
+        "client_connections_closed_REASON",
+        "server_connections_closed_REASON",
+        "requests_crossed_REASON",
+        "retries_after_STATUS",
+    ],
 )
 def test_counters_by_reason_are_named_on_the_page(name: str) -> None:
     assert f"`{name}`" in PAGE
 
 
-@pytest.mark.parametrize("event", ["client_connection_ended", "server_connection_ended", "discovery_ended"])
+@pytest.mark.parametrize(
+    "event", ["client_connection_ended", "request_crossed_end", "server_connection_ended", "discovery_ended"]
+)
 def test_log_events_that_carry_a_reason_are_named_on_the_page(event: str) -> None:
     assert event in first_cells("Lines")
 
