Failing tests: a request at the end of its connection is lost while the gateway is held up

The library of failing calls holds a process up at one kind of call (peek, read, write, shutdown, close, accept, a clock), for a length and with a spacing that the test sets; it held up writes alone, for at most 0.06 s. Held up at shutdown after SIGTERM while the client keeps sending: request 21 is discarded, request_crossed_end says it came 127.4 ms before the end (hypothesis B). The order of reads, timers and tasks alone, on one connection, for draining, eviction and the idle close.

--- a/mapleshunt/testbed/soak/fault_injection.py
+++ b/mapleshunt/testbed/soak/fault_injection.py
@@ -220,7 +220,9 @@
     def _inject_pause(self, fault: ScheduledFault) -> None:
         for number in fault.targets:
             process = self.gateways[number].process
-            if process is not None and process.poll() is None:
+            # A hold and a pause would add up to more than the protocol allows.
+            is_held = self.fault_rates.get(number, SyscallFaultRates()).hold_s > 0.0
+            if process is not None and process.poll() is None and not is_held:
                 process.send_signal(signal.SIGSTOP)
                 self._call_later(0.02 + 0.06 * fault.magnitude, self._continue, process)
 
@@ -244,6 +246,8 @@
             self.fault_controls[number].set(self.fault_rates[number])
 
     _inject_clock_step = _inject_calls_fail = _inject_short_io = _inject_hold = _set_syscall_faults
+    _inject_hold_peek = _inject_hold_read = _inject_hold_write = _inject_hold_shutdown = _set_syscall_faults
+    _inject_hold_close = _inject_hold_accept = _inject_hold_clock = _set_syscall_faults
     _inject_disk_fails = _inject_disk_slow = _set_syscall_faults
 
     def _replica_proxies(self, fault: ScheduledFault) -> list[FaultProxy]:
--- a/mapleshunt/testbed/soak/schedule.py
+++ b/mapleshunt/testbed/soak/schedule.py
@@ -7,11 +7,12 @@
 from dataclasses import dataclass, replace
 from typing import Literal
 
-from ..syscall_faults import SyscallFaultRates
+from ..syscall_faults import HOLD_KINDS, SyscallFaultRates
 
 FaultKind = Literal[
     "term", "kill", "upgrade", "reload", "reload_twice", "pause", "clock_step", "calls_fail", "short_io",
-    "hold", "backend_crash", "backend_hang", "backend_drain", "backend_add", "backend_resets",
+    "hold", "hold_peek", "hold_read", "hold_write", "hold_shutdown", "hold_close", "hold_accept",
+    "hold_clock", "backend_crash", "backend_hang", "backend_drain", "backend_add", "backend_resets",
     "backend_spoils", "backend_closes_idle", "backend_forgets", "backend_unreachable", "discovery_down",
     "discovery_resets", "discovery_slow", "discovery_refuses", "peers_cut", "peers_lose", "bad_clients",
     "floods", "resting_clients", "disk_fails", "disk_slow", "links_cut", "links_reset", "roll",
@@ -19,7 +20,9 @@
 # Relative weights: faults that end or replace processes are among the most frequent.
 FAULT_WEIGHTS: dict[FaultKind, int] = {
     "term": 6, "kill": 3, "upgrade": 5, "reload": 3, "reload_twice": 2, "pause": 3, "clock_step": 3,
-    "calls_fail": 5, "short_io": 3, "hold": 3, "backend_crash": 3, "backend_hang": 4, "backend_drain": 5,
+    "calls_fail": 5, "short_io": 3, "hold": 3, "hold_peek": 1, "hold_read": 1, "hold_write": 1,
+    "hold_shutdown": 1, "hold_close": 1, "hold_accept": 1, "hold_clock": 1,
+    "backend_crash": 3, "backend_hang": 4, "backend_drain": 5,
     "backend_add": 3, "backend_resets": 3, "backend_spoils": 3, "backend_closes_idle": 2,
     "backend_forgets": 2, "backend_unreachable": 2, "discovery_down": 4, "discovery_resets": 3,
     "discovery_slow": 2, "discovery_refuses": 2, "peers_cut": 2, "peers_lose": 2, "bad_clients": 3,
@@ -27,10 +30,10 @@
     "roll": 4,
 }  # fmt: skip
 REPLICATION_KINDS: tuple[FaultKind, ...] = ("disk_fails", "disk_slow", "links_cut", "links_reset", "roll")
-GATEWAY_KINDS = {
+GATEWAY_KINDS: set[str] = {
     "term", "kill", "upgrade", "reload", "reload_twice", "pause", "clock_step", "calls_fail", "short_io",
-    "hold", "bad_clients", "floods", "resting_clients", "peers_cut", "discovery_down", "discovery_resets",
-    "discovery_slow", "discovery_refuses", *REPLICATION_KINDS,
+    "hold", *HOLD_KINDS, "bad_clients", "floods", "resting_clients", "peers_cut", "discovery_down",
+    "discovery_resets", "discovery_slow", "discovery_refuses", *REPLICATION_KINDS,
 }  # fmt: skip
 EPISODE_INTERVAL_S = 2.0  # mean, from the start of one episode to the next
 EPISODE_INTERVAL_FACTORS = (0.6, 1.4)  # an interval is the mean times a factor between these
@@ -42,6 +45,13 @@
 ENDED_GATEWAY_FRACTION = 0.15  # the same for `kill` and `term`, which end gateways
 BACKEND_FRACTION = 0.15
 MAX_SYNC_DELAY_S = 1.0  # added to a sync of a slow disk, at most
+MAX_HOLD_S = 0.15  # the protocol allows a gateway to be held up this long
+HOLD_SPACING_S = 2.0  # between two holds of a process, which would add up to a longer one
+# Chance of a hold at one call: rare calls have a larger one.
+HOLD_RATES: dict[str, float] = {
+    "hold_peek": 0.1, "hold_read": 0.01, "hold_write": 0.02, "hold_shutdown": 0.2, "hold_close": 0.1,
+    "hold_accept": 0.1, "hold_clock": 0.0005,
+}  # fmt: skip
 CLOCK_STEPS_S = (3600.0, -3600.0, 5.0, -5.0)
 
 
@@ -115,7 +125,9 @@
         case "short_io":
             rates = replace(before, short_io=0.3, interrupt=0.05)
         case "hold":
-            rates = replace(before, hold=0.02)
+            rates = _hold_rates(fault, before, HOLD_KINDS)
+        case kind if kind in HOLD_KINDS:
+            rates = _hold_rates(fault, before, [kind])
         case "disk_fails":
             rates = replace(before, disk=0.5, disk_read=0.1)
         case "disk_slow":
@@ -123,3 +135,9 @@
         case "clock_step":
             rates = replace(before, clock_step=fault.magnitude)
     return rates
+
+
+def _hold_rates(fault: ScheduledFault, before: SyscallFaultRates, calls: Sequence[str]) -> SyscallFaultRates:
+    """Return rates by which a process is held up at these calls, one at a time."""
+    rates = {call: HOLD_RATES[call] for call in calls}
+    return replace(before, hold_s=MAX_HOLD_S * fault.magnitude, hold_spacing_s=HOLD_SPACING_S, **rates)
--- a/mapleshunt/testbed/syscall_faults.c
+++ b/mapleshunt/testbed/syscall_faults.c
@@ -25,17 +25,18 @@
 
 /* In the order of SyscallFaultRates in syscall_faults.py. */
 enum kind {
-    ACCEPT, CONNECT, SOCKET, SHORT_IO, INTERRUPT, BROKEN_AS, HOLD, DISK, DISK_READ, CLOCK_STEP, DISK_SLOW, KINDS
+    ACCEPT, CONNECT, SOCKET, SHORT_IO, INTERRUPT, BROKEN_AS, DISK, DISK_READ, CLOCK_STEP, DISK_SLOW,
+    HOLD_PEEK, HOLD_READ, HOLD_WRITE, HOLD_SHUTDOWN, HOLD_CLOSE, HOLD_ACCEPT, HOLD_CLOCK, HOLD_SECONDS,
+    HOLD_SPACING, KINDS
 };
 
 struct control {
-    double rates[KINDS];      /* chance of each call; CLOCK_STEP: s added to the wall clock; DISK_SLOW: s a sync takes longer */
+    /* Chance of each call. CLOCK_STEP: s added to the wall clock; DISK_SLOW: s a sync takes longer;
+       HOLD_SECONDS: length of a hold; HOLD_SPACING: s from one hold to the next at least. */
+    double rates[KINDS];
     volatile uint64_t counts[KINDS];
 };
 
-/* The pages allow 0.15 s between reading a clock and writing, with the pauses that the soak test makes beside. */
-static const long HOLD_NS = 60 * 1000 * 1000;
-
 static struct control *control;
 static char folder[PATH_MAX];
 static size_t folder_length;
@@ -61,7 +62,7 @@
     if (file < 0)
         return;
     void *mapped = mmap(NULL, sizeof(struct control), PROT_READ | PROT_WRITE, MAP_SHARED, file, 0);
-    close(file);
+    REAL(close)(file);
     if (mapped != MAP_FAILED)
         control = mapped;
 }
@@ -75,8 +76,10 @@
     return (double)((state * 0x2545F4914F6CDD1Dull) >> 11) / (double)(1ull << 53);
 }
 
+static int strikes_quietly(enum kind kind) { return chance() < control->rates[kind]; }
+
 static int strikes(enum kind kind) {
-    if (control == NULL || control->rates[kind] <= 0.0 || chance() >= control->rates[kind])
+    if (control == NULL || control->rates[kind] <= 0.0 || !strikes_quietly(kind))
         return 0;
     __sync_add_and_fetch(&control->counts[kind], 1);
     return 1;
@@ -98,6 +101,29 @@
     return getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &size) == 0 && domain == AF_INET;
 }
 
+/* Holds */
+
+/* Pauses before a call. HOLD_SPACING keeps holds apart: several in a row add up to a longer one. */
+static void hold(enum kind kind) {
+    static double last;
+    struct timespec now;
+    if (control == NULL || control->rates[kind] <= 0.0 || !strikes_quietly(kind))
+        return;
+    REAL(clock_gettime)(CLOCK_MONOTONIC, &now);
+    double at = (double)now.tv_sec + (double)now.tv_nsec / 1e9, seconds = control->rates[HOLD_SECONDS];
+    if (last > 0.0 && at - last < control->rates[HOLD_SPACING])
+        return;
+    last = at + seconds;
+    __sync_add_and_fetch(&control->counts[kind], 1);
+    struct timespec time = {(time_t)seconds, (long)((seconds - (double)(time_t)seconds) * 1e9)};
+    nanosleep(&time, NULL);
+}
+
+static void hold_socket(enum kind kind, int fd) {
+    if (control != NULL && control->rates[kind] > 0.0 && is_tcp(fd))
+        hold(kind);
+}
+
 /* Connections */
 
 static const int ACCEPT_ERRORS[] = {ECONNABORTED, ENFILE, ENOBUFS, EPERM, EINTR, ENETUNREACH};
@@ -106,10 +132,12 @@
 static const int BROKEN_ERRORS[] = {ETIMEDOUT, EHOSTUNREACH};
 
 int accept(int fd, struct sockaddr *address, socklen_t *length) {
+    hold_socket(HOLD_ACCEPT, fd);
     return strikes(ACCEPT) ? FAIL(ACCEPT_ERRORS) : REAL(accept)(fd, address, length);
 }
 
 int accept4(int fd, struct sockaddr *address, socklen_t *length, int flags) {
+    hold_socket(HOLD_ACCEPT, fd);
     return strikes(ACCEPT) ? FAIL(ACCEPT_ERRORS) : REAL(accept4)(fd, address, length, flags);
 }
 
@@ -143,34 +171,31 @@
     return result;
 }
 
-/* At most once a second: several in a row would come to more than the pages allow. */
-static void hold(int fd) {
-    static time_t last;
-    struct timespec now;
-    if (control == NULL || control->rates[HOLD] <= 0.0 || !is_tcp(fd))
-        return;
-    REAL(clock_gettime)(CLOCK_MONOTONIC, &now);
-    if (now.tv_sec > last + 1 && strikes(HOLD)) {
-        struct timespec time = {0, (long)(chance() * (double)HOLD_NS)};
-        last = now.tv_sec;
-        nanosleep(&time, NULL);
-    }
-}
-
 ssize_t recv(int fd, void *data, size_t length, int flags) {
     if (strikes(INTERRUPT)) {
         errno = EINTR;
         return -1;
     }
+    hold_socket(flags & MSG_PEEK ? HOLD_PEEK : HOLD_READ, fd);
     return broken(fd, REAL(recv)(fd, data, shorter(fd, length), flags));
 }
 
+int shutdown(int fd, int how) {
+    hold_socket(HOLD_SHUTDOWN, fd);
+    return REAL(shutdown)(fd, how);
+}
+
+int close(int fd) {
+    hold_socket(HOLD_CLOSE, fd);
+    return REAL(close)(fd);
+}
+
 ssize_t send(int fd, const void *data, size_t length, int flags) {
     if (strikes(INTERRUPT)) {
         errno = EINTR;
         return -1;
     }
-    hold(fd);
+    hold_socket(HOLD_WRITE, fd);
     return broken(fd, REAL(send)(fd, data, shorter(fd, length), flags));
 }
 
@@ -279,6 +304,7 @@
 static long step_seconds(void) { return control != NULL ? (long)control->rates[CLOCK_STEP] : 0; }
 
 int clock_gettime(clockid_t clock, struct timespec *time) {
+    hold(HOLD_CLOCK);
     int result = REAL(clock_gettime)(clock, time);
     if (result == 0 && clock == CLOCK_REALTIME)
         time->tv_sec += step_seconds();
--- a/mapleshunt/testbed/syscall_faults.py
+++ b/mapleshunt/testbed/syscall_faults.py
@@ -31,13 +31,32 @@
     short_io: float = 0.0  # reads and writes of a part
     interrupt: float = 0.0  # EINTR, of reads, writes and waits
     broken_as: float = 0.0  # a reset that shows as ETIMEDOUT or EHOSTUNREACH
-    hold: float = 0.0  # a pause of up to 0.06 s before a write, once a second
     disk: float = 0.0  # writes and syncs under the folder: EIO, ENOSPC, half of the bytes written
     disk_read: float = 0.0  # reads under the folder: EIO
     clock_step: float = 0.0  # s that the wall clock is ahead; not a chance
     disk_slow: float = 0.0  # s added to each sync under the folder; not a chance
-
-
+    # A hold: a pause of `hold_s` before the call, each at least `hold_spacing_s` after the one before.
+    hold_peek: float = 0.0  # a read that leaves the bytes in the socket
+    hold_read: float = 0.0
+    hold_write: float = 0.0
+    hold_shutdown: float = 0.0
+    hold_close: float = 0.0
+    hold_accept: float = 0.0
+    hold_clock: float = 0.0  # a reading of any clock
+    hold_s: float = 0.0  # not a chance
+    hold_spacing_s: float = 0.0  # not a chance
+
+
+# The calls at which a process can be held up.
+HOLD_KINDS = (
+    "hold_peek",
+    "hold_read",
+    "hold_write",
+    "hold_shutdown",
+    "hold_close",
+    "hold_accept",
+    "hold_clock",
+)
 KINDS = tuple(field.name for field in fields(SyscallFaultRates))
 RATES = struct.Struct(f"<{len(KINDS)}d")
 COUNTS = struct.Struct(f"<{len(KINDS)}Q")
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -14,6 +14,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
 from mapleshunt.net.client import connection as connection_module
@@ -529,6 +530,39 @@
     run_steps(steps)
 
 
+def test_request_that_the_stream_has_read_ahead_of_its_task_is_served() -> None:
+    async def steps(_: connection_module.ClientConnection, __: socket.socket) -> None:
+        driver, pairs = FakeDriver(), [tcp_pair() for _ in range(2)]
+        service = ClientConnections(cast(PolicyDriver, driver), driver.counters, 1, 1000)
+        for ours, _client_end in pairs:
+            service.add(IOStream(ours))
+        connection = next(iter(service.connections))
+        ours, client_end = pairs[0]
+        client_end.send(resp.encode_command([b"PING"]))
+        await wait_until(lambda: connection.command_count == 1)
+        ends: list[Callable[[], object]] = [
+            lambda: service.close_idle(draining=True, rejecting_new_requests=False),
+            service.evict_idle,
+            lambda: connection.close_if_overdue(connection.last_activity_at + 2 * limits.IDLE_TIMEOUT_S),
+        ]
+        for number, end in enumerate(ends, 1):
+            client_end.send(query())
+            # The loop runs a stream's reads before its timers, and tasks after them.
+            connection.stream._handle_events(ours.fileno(), IOLoop.READ)
+            end()
+            service.close_idle(draining=False, rejecting_new_requests=False)
+            await run_pending_callbacks()
+            assert not connection.closing and len(driver.open_requests) == number
+            for context in driver.open_requests.values():
+                if context.claim_response():
+                    context.response_sink.fail()
+        for _ours, client_end in pairs:
+            client_end.close()
+        await wait_until(lambda: not service.connections)
+
+    run_steps(steps)
+
+
 def test_slow_command_after_idle_time_is_not_cut_off() -> None:
     # The time limit for a command was counted from the opening of the connection.
     async def steps(connection: connection_module.ClientConnection, client_end: socket.socket) -> None:
