Do not load curses into the gateway: it serves colours on a terminal alone

Cause: Tornado's log module imports curses where it can; a started gateway held 16.98 MB with 0.02 MB left under its bound.

--- a/mapleshunt/server/bootstrap.py
+++ b/mapleshunt/server/bootstrap.py
@@ -8,6 +8,7 @@
 
 import uvloop
 
+from .. import optional_imports  # noqa: F401 - before Tornado is imported
 from ..net import log
 from ..net.config import Config, ConfigError, ConfigUnreadableError, load
 from .gateway_server import GatewayServer
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -17,7 +17,7 @@
     grimp.Layer("settings", "storage", "lifecycle", "invariants"),
     grimp.Layer("replicated_state"),
     grimp.Layer("replication", "maintenance"),
-    grimp.Layer("platform_terms", "transient_errors"),
+    grimp.Layer("platform_terms", "transient_errors", "optional_imports"),
     grimp.Layer("policy"),
 )
 
