Look for a request that the stream has read ahead of its task before a connection is ended

What callers saw: a request that the gateway had taken got no answer; its connection was ended 0.118 s (idle close) and 0.174 s (after SIGTERM) after it was sent. Cause: a turn of the event loop runs the streams' reads, then timers, then tasks. A gateway that was held up anywhere in its work runs its overdue timers in the turn that reads what came meanwhile, so the wait before the end is the length of the hold. Evictions also looked at many connections and ended one of them later. Change: the read buffer says whether a read of the stream has completed ahead of its task; every end that the gateway chooses at rest goes through end_if_at_rest, which looks at that and at the socket directly before it begins the end. Why it works: input is either in the socket, in a completed read or in the buffer, and all three are looked at in one step.

--- a/mapleshunt/net/client/connection.py
+++ b/mapleshunt/net/client/connection.py
@@ -334,13 +334,11 @@
         has_partial_command = self.buffer.start != self.buffer.end
         if self.closing or self.pause_reason or not self._is_overdue(now, has_partial_command):
             return
-        if self.has_unread_bytes():
-            return
-        if has_partial_command:
+        if has_partial_command and not self._has_new_input():
             text = resp.encode_error("ERR a command was begun and not ended")
             self._reply_and_close(text, ClientCloseReason.INCOMPLETE_COMMAND)
-        else:
-            self.start_close(ClientCloseReason.IDLE)
+        elif not has_partial_command:
+            self.end_if_at_rest(ClientCloseReason.IDLE)
 
     def _is_overdue(self, now: float, has_partial_command: bool) -> bool:
         is_command_late = (
@@ -353,6 +351,23 @@
         self.closing, self.close_reason = True, reason
         self._new_slot().put(data)
 
+    def end_if_at_rest(self, reason: ClientCloseReason) -> bool:
+        """Start the graceful close unless a command is pending or may have arrived; return whether it did.
+
+        Every close that the gateway chooses for a connection at rest goes through here.
+        """
+        if self.closing or self.is_busy() or self._has_new_input():
+            return False
+        self.start_close(reason)
+        return True
+
+    def _has_new_input(self) -> bool:
+        """Return whether input has arrived that this connection's task has not seen yet.
+
+        The loop runs the stream's reads first, then timers, then tasks: a timer must look at both.
+        """
+        return self.buffer.has_completed_read() or self.has_unread_bytes()
+
     def start_close(self, reason: ClientCloseReason) -> None:
         """Start the graceful close. A request that crosses it is discarded, not served."""
         if not self.closing:
@@ -372,10 +387,10 @@
             self._linger()
 
     def _close_drained(self) -> None:
-        if self.registry.rejecting_new_requests:
+        if not self.registry.rejecting_new_requests:
+            self.end_if_at_rest(ClientCloseReason.DRAINED)
+        elif not self.buffer.has_completed_read():
             self.start_close(ClientCloseReason.DRAINED_WHILE_REQUESTING)
-        elif not self.has_unread_bytes():
-            self.start_close(ClientCloseReason.DRAINED)
 
     def _linger(self) -> None:
         """Shut down the write side, and give the client `LINGER_TIMEOUT_S` to close."""
--- a/mapleshunt/net/client/connections.py
+++ b/mapleshunt/net/client/connections.py
@@ -16,6 +16,7 @@
 from . import limits
 from .connection import ClientConnection
 
+EVICTED = ClientCloseReason.EVICTED
 REQUEST_ID_BITS = 40  # random bits of the first request ID
 
 
@@ -66,28 +67,17 @@
         """
         now = asyncio.get_running_loop().time()
         newest = next(reversed(self.connections), None)
-        longest_idle: ClientConnection | None = None
-        for connection in self.connections:
-            if (
-                connection is newest
-                or connection.closing
-                or now - connection.last_activity_at < idle_s
-                or connection.is_busy()
-            ):
-                continue
-            is_silent = (
-                not connection.command_count
-                and now - connection.last_activity_at > limits.EVICT_SILENT_AFTER_S
-            )
-            if is_silent and not connection.has_unread_bytes():
-                longest_idle = connection
-                break
-            is_longer = longest_idle is None or connection.last_activity_at < longest_idle.last_activity_at
-            if is_longer and not connection.has_unread_bytes():
-                longest_idle = connection
-        if longest_idle is not None:
-            longest_idle.start_close(ClientCloseReason.EVICTED)
-        return longest_idle is not None
+        candidates = [
+            connection
+            for connection in self.connections
+            if connection is not newest and now - connection.last_activity_at >= idle_s
+        ]
+        for connection in candidates:
+            is_silent = now - connection.last_activity_at > limits.EVICT_SILENT_AFTER_S
+            if is_silent and not connection.command_count and connection.end_if_at_rest(EVICTED):
+                return True
+        candidates.sort(key=lambda connection: connection.last_activity_at)
+        return any(connection.end_if_at_rest(EVICTED) for connection in candidates)
 
     def close_lingering(self, max_lingering: int) -> None:
         """Close the oldest lingering connections beyond `max_lingering`."""
--- a/mapleshunt/net/protocol/read_buffer.py
+++ b/mapleshunt/net/protocol/read_buffer.py
@@ -65,14 +65,16 @@
             self._pending_read = None
         self.end += count
 
-    def unprocessed_bytes(self) -> int:
-        """Return the number of bytes that were read and not consumed.
+    def has_completed_read(self) -> bool:
+        """Return whether the stream has completed a read, or has ended, and `fill` has not resumed yet."""
+        return self._pending_read is not None and self._pending_read.done()
 
-        The stream reads before the task that awaits `fill` runs, so these include bytes beyond `end`.
-        """
-        read = self._pending_read
-        is_read = read is not None and read.done() and not read.cancelled() and read.exception() is None
-        return self.end - self.start + (read.result() if is_read and read is not None else 0)
+    def unprocessed_bytes(self) -> int:
+        """Return the number of bytes that were read and not consumed, those of a completed read included."""
+        ahead, read = 0, self._pending_read
+        if read is not None and read.done() and not read.cancelled() and read.exception() is None:
+            ahead = read.result()
+        return self.end - self.start + ahead
 
     def consume(self, end: int) -> None:
         """Discard the bytes before `end`, an index of `data`."""
