Neither reuse nor reject an endpoint's connection over bytes that its stream has read ahead

Found beside the incident, by looking for the same mistake where the gateway is the client: an action in a timer or in another task looks at a socket whose bytes the stream has read ahead of the connection's task. What callers would see: (1) a connection with a late second reply, read ahead, passed the check for unread bytes; the next attempt on it took those bytes for its own reply, so its client was served with another request's value. (2) a reply whose rest had been read when its stall timer ran ended as malformed: the attempt was repeated, or failed where it may not be. Change: both ask the read buffer for a completed read.

--- a/mapleshunt/net/upstream/connection.py
+++ b/mapleshunt/net/upstream/connection.py
@@ -109,9 +109,10 @@
         """Return whether an idle connection is open and has no unread bytes.
 
         A command written after the endpoint's close is lost and counts as one that may have run, so a peek
-        looks for the close first.
+        looks for the close first. Bytes that the stream has read ahead of its task would be taken for the
+        next attempt's reply.
         """
-        if self.stream.closed():
+        if self.stream.closed() or self.buffer.has_completed_read():
             return False
         try:
             self.stream.socket.recv(1, socket.MSG_PEEK)
@@ -216,9 +217,11 @@
         self.reply_deadline = min(self.reply_deadline, loop.time() + self.max_reply_s)
         self._stop_stall_timer()
         stalled_at = min(self.reply_deadline, loop.time() + REPLY_STALL_TIMEOUT_S)
-        self.stall_timer = loop.call_at(
-            stalled_at, self._reject_reply, "reply stalled or not complete in time"
-        )
+        self.stall_timer = loop.call_at(stalled_at, self._reject_stalled_reply)
+
+    def _reject_stalled_reply(self) -> None:
+        if not self.buffer.has_completed_read():  # else the reading task goes on with it
+            self._reject_reply("reply stalled or not complete in time")
 
     def _stop_stall_timer(self) -> None:
         if self.stall_timer is not None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 import pytest
+from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
 from mapleshunt import RequestReceived
@@ -234,6 +235,47 @@
     assert run_steps(steps) == []
 
 
+def read_ahead(connection: UpstreamConnection) -> None:
+    """Let the stream read what has arrived, as the loop does before timers and tasks run."""
+    connection.stream._handle_events(connection.stream.fileno(), IOLoop.READ)
+    assert connection.buffer.has_completed_read()
+
+
+def test_connection_whose_stream_has_read_ahead_is_not_reused(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "REUSE_DELAY_S", 0.0)
+
+    async def steps(group: EndpointGroup, number: int, listener: socket.socket) -> list[AttemptResult]:
+        connection = group.new_connection(number)
+        with await accept_while(connection.connect(), listener) as server:
+            group.release(connection)
+            await asyncio.sleep(0)
+            server.send(VALID_REPLY)
+            read_ahead(connection)
+            assert group.take_idle(number) is None
+        return []
+
+    assert run_steps(steps) == []
+
+
+def test_reply_whose_rest_the_stream_has_read_ahead_is_not_stalled() -> None:
+    async def steps(group: EndpointGroup, number: int, listener: socket.socket) -> list[AttemptResult]:
+        _, task = start_attempt(group, number)
+        with await accept(listener) as server:
+            await receive_command(server)
+            server.send(VALID_REPLY[:9])
+            (connection,) = group.connections
+            while connection.stall_timer is None:
+                await asyncio.sleep(0)
+            server.send(VALID_REPLY[9:])
+            await asyncio.sleep(0)  # the reader waits for the rest by now
+            if not connection.buffer.has_completed_read():
+                read_ahead(connection)
+            connection.stall_timer._run()
+            return [await task]
+
+    assert [result.status for result in run_steps(steps)] == ["ok"]
+
+
 def test_stalled_reply_is_malformed_after_stall_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(upstream_connection, "REPLY_STALL_TIMEOUT_S", 0.01)
 
