Answer an admin call that was read before a newer connection takes its connection's place

Found beside the incident, the same mistake at the operators' address: at the limit of connections the oldest without a response is closed for a new one, also if its call has been read ahead of its task. What operators saw: a call ended unanswered (door_caller_ended reason=made_room) by a gateway that was held up while it came. Change: a connection with a completed read is passed over. The test (a real gateway held up at a write) failed before.

--- a/mapleshunt/net/admin/connection.py
+++ b/mapleshunt/net/admin/connection.py
@@ -56,9 +56,14 @@
         self._respond = respond
         self._on_close = on_close
         self._counters = counters
+        self._buffer = ReadBuffer(http.MAX_HEAD_BYTES)
         self._call = "none"  # method and path, for the log
         self._closed = False
 
+    def has_new_input(self) -> bool:
+        """Return whether the stream has read input, perhaps a call, that the task has not seen yet."""
+        return self._buffer.has_completed_read()
+
     async def run(self) -> None:
         """Serve the call and close the connection. Cancelling it leaves the connection open."""
         reason = CloseReason.CLIENT_CLOSED
@@ -92,7 +97,7 @@
                 await self._stream.read_into(bytearray(LINGER_READ_BYTES), partial=True)
 
     async def _read_and_respond(self) -> AdminResponse:
-        buffer = ReadBuffer(http.MAX_HEAD_BYTES)
+        buffer = self._buffer
         try:
             while not (request := http.parse_request(buffer.data, buffer.start, buffer.end)):
                 await buffer.fill(self._stream)
--- a/mapleshunt/net/admin/endpoint.py
+++ b/mapleshunt/net/admin/endpoint.py
@@ -55,8 +55,12 @@
         connection.task = asyncio.get_running_loop().create_task(connection.run())
 
     def _evict(self) -> None:
-        """Close the oldest connection without a response, or the oldest of all."""
-        unanswered = (connection for connection in self._connections if not connection.answered)
+        """Close the oldest connection without a response or new input, or the oldest of all."""
+        unanswered = (
+            connection
+            for connection in self._connections
+            if not connection.answered and not connection.has_new_input()
+        )
         oldest = next(iter(self._connections))
         next(unanswered, oldest).close(CloseReason.EVICTED)
 
--- a/tests/test_request_crossing.py
+++ b/tests/test_request_crossing.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from mapleshunt.net.admin.endpoint import MAX_CONNECTIONS
 from mapleshunt.testbed.syscall_faults import SyscallFaultControl, SyscallFaultRates, build_library
 
 from .processes import PING, Gateway, query, read_replies, toy_servers
@@ -99,3 +100,21 @@
             number = -number
             time.sleep(REQUEST_INTERVAL_S)
         assert held_gateway.control.counts()["hold_shutdown"] == 1
+
+
+def test_admin_call_that_was_read_is_answered_although_newer_connections_come(
+    held_gateway: HeldGateway,
+) -> None:
+    gateway = held_gateway.gateway
+    with held_gateway.connect() as other, contextlib.ExitStack() as stack:
+        callers = [
+            stack.enter_context(socket.create_connection(gateway.admin_address, timeout=20))
+            for _ in range(MAX_CONNECTIONS)
+        ]
+        time.sleep(HOLD_S)  # until all are accepted
+        held_gateway.hold_at("hold_write")
+        other.sendall(PING)
+        held_gateway.wait_until_held("hold_write")
+        callers[0].sendall(b"GET /_ready HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+        stack.enter_context(socket.create_connection(gateway.admin_address, timeout=20))
+        assert callers[0].recv(65536).startswith(b"HTTP/1.1 200 "), gateway.log_text()
