End a draining client connection together with its response; end those at rest late

After SIGTERM every connection at rest was ended at 0.5 s, each a chance. Cause: no look and end are one step, so an end that does not come with a response can always be crossed by a request. Change: a drain has stages (DrainStage). After the grace a connection ends with its next response: further processing stops, the response is held back in the kernel (TCP_CORK) and leaves with the end in one segment, so a client that waits for its response has nothing under way. Connections at rest are ended from 2 s on, and from 3 s on also those that never stop sending; both earlier if SIGKILL may come sooner (deadline of 0.5 s: 1.2 s). What a process with a successor ended at once it ends the same way now. Requests are rejected from 1.5 s on only behind one that is pending or was answered in the drain; the first one of any connection is served. The backlog is emptied also at the limit of connections: one at rest is evicted for each. Why it works: between the look and the end of such a connection its client waits for a response. Left: a connection at rest that is ended while the process is held up just then. Tests: the model of the connection draws the stage and predicts the rejections; the model of the lifecycle holds each stage's begin; the backlog's tests drain with connections at rest kept, which is stricter than before.

--- a/mapleshunt/lifecycle/lifecycle.py
+++ b/mapleshunt/lifecycle/lifecycle.py
@@ -15,10 +15,14 @@
 # ready". It polls ten times a second and stops sending 0.2 s after such an answer; at a planned restart it
 # sends for 0.4 s at most.
 DRAIN_GRACE_S = 0.5
-# Time after which a connection with a pending response is not read further, so that it can be closed once the
-# requests read so far have their responses. The operators require that no connection with a request in the
-# last 2 s is left after 4 s.
-READ_GRACE_S = 1.5
+# Times from the start of a drain to its later stages. The operators require that no idle connection, and none
+# with a request in the last 2 s, is left after 4 s.
+REJECT_FURTHER_AFTER_S = 1.5
+END_AT_REST_AFTER_S = 2.0
+FORCE_END_AFTER_S = 3.0
+# The same stages begin at the latest this long before the process may be killed.
+END_AT_REST_BEFORE_KILL_S = 0.7
+FORCE_END_BEFORE_KILL_S = 0.4
 # A process may be killed this long after the longest deadline, counted from SIGTERM. Deadlines beyond the
 # maximum count as the maximum.
 KILL_DELAY_S = 0.7
@@ -44,6 +48,18 @@
 }
 
 
+class DrainStage(enum.IntEnum):
+    """How far a drain has come: which client connections end. Each stage includes the earlier ones."""
+
+    NONE = 0  # connections are kept
+    END_WITH_RESPONSE = 1  # a connection ends together with its next response
+    REJECT_FURTHER = (
+        2  # requests behind the one that was answered last, or behind a pending one, are rejected
+    )
+    END_AT_REST = 3  # connections without a request end too
+    FORCE_END = 4  # a connection ends even if its client goes on sending
+
+
 class DrainRequester(enum.Enum):
     """A party that may drain the gateway, which serves again once none requests the drain."""
 
@@ -60,6 +76,7 @@
         self._drain_started_at = -math.inf  # when draining, or stopping without a drain, began
         self._has_successor = False  # another process serves clients at the same address
         self._stop_requested_at = math.inf
+        self._kill_at = math.inf  # the earliest time at which the process may be killed
 
     def _enter(self, state: State) -> bool:
         if state not in LEGAL_TRANSITIONS[self.state]:
@@ -90,8 +107,14 @@
             return False
         return self._enter(State.SERVING)
 
-    def stop(self, now: float, has_successor: bool = False) -> bool:
-        """Begin to stop. With a successor, another process serves clients at the same address."""
+    def stop(self, now: float, longest_deadline_s: float, has_successor: bool = False) -> bool:
+        """Begin to stop.
+
+        Args:
+            now: s on a monotonic clock.
+            longest_deadline_s: the longest deadline of any request class.
+            has_successor: another process serves clients at the same address.
+        """
         was_draining = self.state is State.DRAINING
         if not self._enter(State.STOPPING):
             return False
@@ -99,6 +122,7 @@
             self._drain_started_at = now
         self._has_successor = has_successor
         self._stop_requested_at = now
+        self._kill_at = now + min(longest_deadline_s, KILL_MAX_DEADLINE_S) + KILL_DELAY_S
         return True
 
     # Behaviour that follows from the state.
@@ -120,23 +144,35 @@
             return not self._has_successor and now - self._drain_started_at < DRAIN_GRACE_S
         return self.state is not State.STARTING
 
-    def closes_idle_connections(self, now: float) -> bool:
-        """Return whether a client connection is closed as soon as no response is pending on it."""
-        if self.state is State.STOPPING and self._has_successor:
-            return True
-        return self._is_draining_or_stopping() and now - self._drain_started_at >= DRAIN_GRACE_S
-
-    def reads_while_responding(self, now: float) -> bool:
-        """Return whether a connection is read while a response is pending on it."""
-        return not self._is_draining_or_stopping() or now - self._drain_started_at < READ_GRACE_S
+    def drain_stage(self, now: float) -> DrainStage:
+        """Return how far the drain has come; the stages begin earlier if the process may be killed soon."""
+        if not self._is_draining_or_stopping():
+            return DrainStage.NONE
+        begins_at = self._stage_begins_at()
+        return max(stage for stage, begins in begins_at.items() if begins <= now)
 
-    def last_response_at(self, longest_deadline_s: float) -> float:
+    def _stage_begins_at(self) -> dict[DrainStage, float]:
+        started_at = self._drain_started_at
+        first = started_at + DRAIN_GRACE_S
+        if self.state is State.STOPPING and self._has_successor:
+            first = self._stop_requested_at
+        at_rest = max(first, min(started_at + END_AT_REST_AFTER_S, self._kill_at - END_AT_REST_BEFORE_KILL_S))
+        return {
+            DrainStage.NONE: -math.inf,
+            DrainStage.END_WITH_RESPONSE: first,
+            DrainStage.REJECT_FURTHER: max(first, min(started_at + REJECT_FURTHER_AFTER_S, at_rest)),
+            DrainStage.END_AT_REST: at_rest,
+            DrainStage.FORCE_END: max(
+                at_rest, min(started_at + FORCE_END_AFTER_S, self._kill_at - FORCE_END_BEFORE_KILL_S)
+            ),
+        }
+
+    def last_response_at(self) -> float:
         """Return the time by which requests that arrive while stopping must have their last response.
 
-        `longest_deadline_s` is the longest deadline of any request class. Infinity unless stopping.
+        Infinity unless stopping.
         """
-        longest = min(longest_deadline_s, KILL_MAX_DEADLINE_S)
-        return self._stop_requested_at + longest + KILL_DELAY_S - LAST_RESPONSE_MARGIN_S
+        return self._kill_at - LAST_RESPONSE_MARGIN_S
 
     def _is_draining_or_stopping(self) -> bool:
         return self.state in (State.DRAINING, State.STOPPING)
--- a/mapleshunt/net/client/connection.py
+++ b/mapleshunt/net/client/connection.py
@@ -15,6 +15,7 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from ...invariants import Guard, violations_of_close
+from ...lifecycle.lifecycle import DrainStage
 from .. import log
 from ..protocol import command_protocol, resp
 from ..protocol.read_buffer import CHUNK_BYTES, MessageTooLongError, ReadBuffer
@@ -48,7 +49,6 @@
     is_ready: Callable[[], bool]
     connections: dict[ClientConnection, None]
     lingering_count: int
-    draining: bool
     on_connection_ended: Callable[[], None]
 
     def remove(self, connection: ClientConnection) -> None:
@@ -61,7 +61,8 @@
     It reads continuously, so that a disconnect is detected at once, but bounds the commands that await a
     response. A graceful close processes no further command, writes the pending responses, shuts down the
     write side and discards input until the client closes: closing a socket with unread bytes would reset
-    the connection, and a reset can destroy the last response before the client reads it.
+    the connection, and a reset can destroy the last response before the client reads it. The last response
+    and the end leave in one segment: no request can follow the one and be crossed by the other.
     """
 
     def __init__(self, stream: IOStream, registry: ConnectionRegistry, backlog_wait_s: float = 0.0) -> None:
@@ -76,6 +77,7 @@
         self.pending_write: asyncio.Future[None] | None = None
         self.pause_reason: PauseReason | None = None
         self.closing = False  # no further command is processed
+        self.answered_in_drain = False  # a response was written while the gateway was draining
         self.close_reason: ClientCloseReason | None = None
         self.command_count = 0
         self.unacceptable_count = 0
@@ -236,7 +238,8 @@
             self._log_exception()  # fails only this command, not its connection
             slot.put(command_protocol.FAILURE_REPLY)
             return True
-        admit_request(self.registry, slot.context, is_first=self.command_count == 1)
+        is_first = len(self.slots) == 1 and not self.answered_in_drain
+        admit_request(self.registry, slot.context, is_first)
         return True
 
     def _reject_flood(self) -> None:
@@ -281,14 +284,26 @@
             ready.append(data)
             self.slots.popleft()
         if ready and not self.stream.closed():
+            self._end_with_response_if_draining()
+            if self.closing and not self.slots:
+                socket_state.hold_back_last_segment(self._raw_socket())
             self._write(b"".join(ready))
         is_pipeline_open = len(self.slots) < limits.MAX_PIPELINED_COMMANDS
         if self.pause_reason is PauseReason.PIPELINE_FULL and is_pipeline_open:
             self.pause_reason = PauseReason.TURN
             self.loop.call_soon(self._resume)
-        if self.closing or self.registry.draining:
+        if self.closing or self.registry.drain_stage >= DrainStage.END_AT_REST:
             self.continue_close()
 
+    def _end_with_response_if_draining(self) -> None:
+        """Process no further command if the gateway drains and the response to be written is the last one."""
+        if self.closing or self.registry.drain_stage < DrainStage.END_WITH_RESPONSE:
+            return
+        self.answered_in_drain = True
+        has_input = self.buffer.start != self.buffer.end or self._has_new_input()
+        if not self.slots and not has_input:
+            self.closing, self.close_reason = True, ClientCloseReason.DRAINED
+
     def _write(self, data: bytes) -> None:
         self.last_activity_at = self.last_write_at = self.loop.time()
         try:
@@ -307,11 +322,14 @@
     def is_busy(self) -> bool:
         """Return whether a response is pending or being written, or a command is partly read."""
         has_partial_command = self.buffer.start != self.buffer.end and not self.closing
-        if has_partial_command and self.registry.rejecting_new_requests and self.command_count:
+        if has_partial_command and self._must_end() and self.command_count:
             # A client that keeps sending would never become idle, so only paused complete commands count.
             has_partial_command = self.pause_reason is not None
         return bool(self.slots) or has_partial_command or self.is_writing()
 
+    def _must_end(self) -> bool:
+        return self.registry.drain_stage >= DrainStage.FORCE_END
+
     def has_unread_bytes(self) -> bool:
         """Return whether the socket holds unread bytes, which may be a request."""
         return socket_state.has_unread_bytes(self._raw_socket())
@@ -387,7 +405,7 @@
             self._linger()
 
     def _close_drained(self) -> None:
-        if not self.registry.rejecting_new_requests:
+        if not self._must_end():
             self.end_if_at_rest(ClientCloseReason.DRAINED)
         elif not self.buffer.has_completed_read():
             self.start_close(ClientCloseReason.DRAINED_WHILE_REQUESTING)
--- a/mapleshunt/net/client/connections.py
+++ b/mapleshunt/net/client/connections.py
@@ -10,6 +10,7 @@
 
 from tornado.iostream import IOStream
 
+from ...lifecycle.lifecycle import DrainStage
 from ..counters import Counters
 from ..policy_driver import PolicyDriver
 from ..reasons import ClientCloseReason
@@ -43,8 +44,7 @@
         self.lingering_count = 0  # connections that only wait for the client to close
         # Seconds on the loop's clock: every request received from now on gets its response before then.
         self.final_deadline = math.inf
-        self.draining = False  # connections close as soon as no response is pending
-        self.rejecting_new_requests = False  # except the first request of a connection
+        self.drain_stage = DrainStage.NONE
         # Called when a connection frees its capacity.
         self.on_connection_ended: Callable[[], None] = lambda: None
 
@@ -60,8 +60,9 @@
         del self.connections[connection]
 
     def evict_idle(self, idle_s: float = 0.0) -> bool:
-        """Close one connection that has been idle for `idle_s`, never the newest; return whether one was.
+        """Close one connection that has been idle for `idle_s`; return whether one was.
 
+        The newest is kept until it has sent a command, which may be in transit.
         Connections that have sent nothing are evicted first: clients that open hundreds of connections and
         send nothing must not displace those that send requests.
         """
@@ -70,7 +71,8 @@
         candidates = [
             connection
             for connection in self.connections
-            if connection is not newest and now - connection.last_activity_at >= idle_s
+            if (connection is not newest or connection.command_count)
+            and now - connection.last_activity_at >= idle_s
         ]
         for connection in candidates:
             is_silent = now - connection.last_activity_at > limits.EVICT_SILENT_AFTER_S
@@ -96,15 +98,16 @@
         while len(self.connections) - self.lingering_count > max_connections and self.evict_idle(idle_s):
             pass
 
-    def close_idle(self, draining: bool, rejecting_new_requests: bool) -> None:
-        """Set the draining state; while draining, close idle connections, except new ones yet to send.
+    def apply_drain_stage(self, stage: DrainStage) -> None:
+        """Set the stage of the drain, and end the connections that it wants ended now.
 
-        Args:
-            draining: close connections as soon as no response is pending, now and later.
-            rejecting_new_requests: reject all requests except the first of each connection.
+        New connections whose client has yet to send are kept for a moment.
         """
-        self.draining, self.rejecting_new_requests = draining, rejecting_new_requests
+        if stage is DrainStage.NONE and self.drain_stage is not stage:
+            for connection in self.connections:
+                connection.answered_in_drain = False
+        self.drain_stage = stage
         now = asyncio.get_running_loop().time()
-        for connection in list(self.connections) if draining else ():
+        for connection in list(self.connections) if stage >= DrainStage.END_AT_REST else ():
             if connection.command_count or now - connection.last_activity_at > limits.EVICT_SILENT_AFTER_S:
                 connection.continue_close()
--- a/mapleshunt/net/client/requests.py
+++ b/mapleshunt/net/client/requests.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from typing import Protocol
 
+from ...lifecycle.lifecycle import DrainStage
 from ..counters import Counters
 from ..messages import ParsedRequest, ResponseSink
 from ..policy_driver import PolicyDriver
@@ -27,7 +28,7 @@
     request_ids: Iterator[int]
     open_client_ids: set[str]
     final_deadline: float
-    rejecting_new_requests: bool
+    drain_stage: DrainStage
 
 
 def parse_command(
@@ -57,12 +58,12 @@
 
 
 def admit_request(registry: RequestRegistry, context: RequestContext, is_first: bool) -> None:
-    """Admit a request; while new ones are rejected, only the first one of its connection.
+    """Admit a request; late in a drain, only the first one of its connection.
 
     Otherwise a client that keeps sending would hold a draining connection open indefinitely.
     """
     retry_after_ms = 0.0
-    if registry.rejecting_new_requests and not is_first:
+    if registry.drain_stage >= DrainStage.REJECT_FURTHER and not is_first:
         registry.counters.add("rejected_last_call")
         retry_after_ms = limits.IMMEDIATE_RETRY_AFTER_MS
     admit(context, registry.driver, registry.max_open_requests, retry_after_ms)
--- a/mapleshunt/net/client/socket_state.py
+++ b/mapleshunt/net/client/socket_state.py
@@ -1,7 +1,8 @@
-"""Queries of a client socket's kernel state that consume no bytes."""
+"""Queries of a client socket's kernel state that consume no bytes, and its options."""
 
 from __future__ import annotations
 
+import contextlib
 import select
 import socket
 import struct
@@ -20,6 +21,13 @@
         return False
 
 
+def hold_back_last_segment(sock: socket.socket | None) -> None:
+    """Keep what is written next in the kernel until the write side is shut down, or for 0.2 s at most."""
+    if sock is not None:
+        with contextlib.suppress(OSError):  # not TCP, or closed
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
+
+
 def has_hung_up(sock: socket.socket | None) -> bool:
     """Return whether the client has closed its side, even if bytes before that are unread."""
     if sock is None:
--- a/mapleshunt/server/client_admission.py
+++ b/mapleshunt/server/client_admission.py
@@ -107,12 +107,12 @@
             acceptor.stop()
 
     async def accept_backlog(self) -> None:
-        """Accept the connections that the kernel has queued, while there is capacity.
+        """Accept the connections that the kernel has queued, while there is capacity or an idle one to evict.
 
         Cancelling it leaves the others in the backlog.
         """
         for acceptor in self.acceptors:
-            await acceptor.accept_backlog(self.has_capacity)
+            await acceptor.accept_backlog(lambda: self.has_capacity() or self.connections.evict_idle())
 
     def close_listeners(self) -> None:
         """Stop accepting and close the sockets. Connections queued on an unshared socket are reset."""
--- a/mapleshunt/server/gateway_server.py
+++ b/mapleshunt/server/gateway_server.py
@@ -263,14 +263,14 @@
         has_successor = self.takeover is not None and self.takeover.has_successor()
         classes = self.reloader.config.settings.classes.values()
         longest_deadline_s = max((cls.deadline for cls in classes), default=0.0) / 1000
-        self.lifecycle.stop(_now(), has_successor)
-        self.connections.final_deadline = self.lifecycle.last_response_at(longest_deadline_s)
+        self.lifecycle.stop(_now(), longest_deadline_s, has_successor)
+        self.connections.final_deadline = self.lifecycle.last_response_at()
         self.counters.trace.add("process", "stopping")
         log.log_event("stopping", open=len(self.driver.open_requests), succeeded=has_successor)
         await _poll_until(lambda: not self.lifecycle.accepts_connections(_now()))
         self.controller.tick_contained()
         # A connection in the kernel's backlog may carry a request. Closing the listener would reset it, or
-        # leave it to a process that starts late. The tick has closed idle connections, so there is capacity.
+        # leave it to a process that starts late.
         # If another process accepts from the same socket, it takes the connections that are queued.
         if self.takeover is None or not self.takeover.has_other_process:
             await self.clients.accept_backlog()
--- a/mapleshunt/server/lifecycle_controller.py
+++ b/mapleshunt/server/lifecycle_controller.py
@@ -65,9 +65,7 @@
         now = _now()
         if self.hot_restart_tick is not None:
             self.hot_restart_tick()
-        self._connections.close_idle(
-            self.lifecycle.closes_idle_connections(now), not self.lifecycle.reads_while_responding(now)
-        )
+        self._connections.apply_drain_stage(self.lifecycle.drain_stage(now))
 
     def tick_contained(self) -> None:
         """Tick and log any exception: a defect must not end the process while requests are pending."""
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -17,6 +17,7 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
+from mapleshunt.lifecycle.lifecycle import DrainStage
 from mapleshunt.net.client import connection as connection_module
 from mapleshunt.net.client import limits, requests
 from mapleshunt.net.client.connections import ClientConnections
@@ -248,7 +249,7 @@
         client_end.send(query())
         assert not registry_of(connection).evict_idle()
         registry_of(connection).reap_overdue(9, 0.5)
-        registry_of(connection).close_idle(draining=True, rejecting_new_requests=False)
+        registry_of(connection).apply_drain_stage(DrainStage.END_AT_REST)
         await run_pending_callbacks()
         assert not connection.stream.closed() and len(connection.slots) == 1
         other.close()
@@ -465,7 +466,7 @@
         connection.registry.is_ready = lambda: False
         client_end.send(query())
         await wait_until(lambda: driver.open_requests)
-        registry_of(connection).close_idle(draining=True, rejecting_new_requests=True)
+        registry_of(connection).apply_drain_stage(DrainStage.FORCE_END)
         client_end.send(query() + ping + query())
         await wait_until(lambda: connection.command_count == 4)
         (context,) = driver.open_requests.values()  # none of the others was submitted to the driver
@@ -510,7 +511,9 @@
         monkeypatch.setattr(connection, "has_unread_bytes", send_after_check)
         match reason:
             case "drained" | "last_call":
-                service.close_idle(draining=True, rejecting_new_requests=reason == "last_call")
+                service.apply_drain_stage(
+                    DrainStage.END_AT_REST if reason == "drained" else DrainStage.FORCE_END
+                )
             case "made_room":
                 pair = tcp_pair()
                 service.add(IOStream(pair[0]))
@@ -541,7 +544,7 @@
         client_end.send(resp.encode_command([b"PING"]))
         await wait_until(lambda: connection.command_count == 1)
         ends: list[Callable[[], object]] = [
-            lambda: service.close_idle(draining=True, rejecting_new_requests=False),
+            lambda: service.apply_drain_stage(DrainStage.END_AT_REST),
             service.evict_idle,
             lambda: connection.close_if_overdue(connection.last_activity_at + 2 * limits.IDLE_TIMEOUT_S),
         ]
@@ -550,7 +553,7 @@
             # The loop runs a stream's reads before its timers, and tasks after them.
             connection.stream._handle_events(ours.fileno(), IOLoop.READ)
             end()
-            service.close_idle(draining=False, rejecting_new_requests=False)
+            service.apply_drain_stage(DrainStage.NONE)
             await run_pending_callbacks()
             assert not connection.closing and len(driver.open_requests) == number
             for context in driver.open_requests.values():
@@ -610,6 +613,7 @@
         self.expected_bytes = self.received_bytes = b""
         self.remaining_bytes = b""  # of a partly sent command
         self.malformed = self.disconnected = self.half_closed = self.closed = self.eof = False
+        self.answered_in_drain = False
 
     def run_step(self, step: Any = None) -> None:
         """Run a step on the loop, then the callbacks it caused, and receive the output."""
@@ -649,14 +653,24 @@
     def update_model(self) -> None:
         """Update the model after a step."""
         self.steps_before_close -= 1
+        has_response = bool(self.pending) and self.pending[0][1] is not None
         while self.pending and self.pending[0][1] is not None:
             self.expected_bytes += self.pending.popleft()[1]
+        stage = self.service.drain_stage
+        self.answered_in_drain |= has_response and stage >= DrainStage.END_WITH_RESPONSE
+        ends_now = stage >= DrainStage.END_AT_REST or (stage and has_response)
         if not self.pending and self.malformed:
             self.half_closed = True  # the last response is written; the client may close
-        elif not self.pending and self.service.draining and not self.remaining_bytes:
+        elif not self.pending and ends_now and not self.remaining_bytes:
             # After a response the client closes first; without one the gateway does: no response can be lost.
             self.half_closed, self.closed = bool(self.expected_bytes), not self.expected_bytes
 
+    def expected_rejection(self) -> bytes | None:
+        """Return the response to a request that is sent now, if it is rejected because of the drain."""
+        is_first = not self.pending and not self.answered_in_drain
+        rejects = self.service.drain_stage >= DrainStage.REJECT_FURTHER and not is_first
+        return b"-BUSY 1\r\n" if rejects else None
+
     def send(self, data: bytes, response: bytes | None, is_complete: bool = True) -> None:
         before = set(self.driver.open_requests)
         self.run_step(lambda: self.client_end.send(data))
@@ -674,7 +688,7 @@
     @open_now
     @rule()
     def client_sends_query(self) -> None:
-        self.send(query(), None)
+        self.send(query(), self.expected_rejection())
         self.update_model()
 
     @open_now
@@ -688,7 +702,7 @@
     @rule()
     def client_supplies_remaining_bytes(self) -> None:
         remaining_bytes, self.remaining_bytes = self.remaining_bytes, b""
-        self.send(remaining_bytes, None)
+        self.send(remaining_bytes, self.expected_rejection())
         self.update_model()
 
     @open_now
@@ -749,9 +763,9 @@
             self.update_model()
 
     @precondition(lambda self: self.steps_before_close <= 0)
-    @rule()
-    def gateway_drains(self) -> None:
-        self.run_step(lambda: self.service.close_idle(draining=True, rejecting_new_requests=False))
+    @rule(stage=st.sampled_from([DrainStage.END_WITH_RESPONSE, DrainStage.END_AT_REST]))
+    def gateway_drains(self, stage: DrainStage) -> None:
+        self.run_step(lambda: self.service.apply_drain_stage(max(stage, self.service.drain_stage)))
         self.update_model()
 
     @precondition(lambda self: self.steps_before_close <= 0 and not self.closed and not self.disconnected)
--- a/tests/test_client_listener.py
+++ b/tests/test_client_listener.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from mapleshunt.lifecycle.lifecycle import DrainStage
 from mapleshunt.net import config
 from mapleshunt.net.client import listener as listener_module
 from mapleshunt.net.counters import Counters
@@ -205,7 +206,8 @@
         for acceptor in server.clients.acceptors:  # the loop must not accept it before shutdown
             acceptor.stop()
         monkeypatch.setattr(server.lifecycle, "accepts_connections", lambda now: False)
-        monkeypatch.setattr(server.lifecycle, "closes_idle_connections", lambda now: True)
+        stage = DrainStage.END_WITH_RESPONSE  # connections at rest are kept
+        monkeypatch.setattr(server.lifecycle, "drain_stage", lambda now: stage)
         server.stop_requested.set()
         data = await asyncio.get_running_loop().sock_recv(client, 100)
         client.close()
@@ -237,7 +239,8 @@
             failing = FailingListener(acceptor.listener, list(errors))
             acceptor.listener = cast(socket.socket, failing)
             server.lifecycle.accepts_connections = lambda now: False  # type: ignore[method-assign]
-            server.lifecycle.closes_idle_connections = lambda now: True  # type: ignore[method-assign]
+            stage = DrainStage.END_WITH_RESPONSE
+            server.lifecycle.drain_stage = lambda now: stage  # type: ignore[method-assign]
             server.stop_requested.set()
             data = await asyncio.get_running_loop().sock_recv(client, 100)
         await task
--- a/tests/test_lifecycle.py
+++ b/tests/test_lifecycle.py
@@ -6,16 +6,21 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from mapleshunt.lifecycle.lifecycle import (
     DRAIN_GRACE_S,
+    END_AT_REST_AFTER_S,
+    END_AT_REST_BEFORE_KILL_S,
+    FORCE_END_AFTER_S,
+    FORCE_END_BEFORE_KILL_S,
     KILL_DELAY_S,
     KILL_MAX_DEADLINE_S,
     LAST_RESPONSE_MARGIN_S,
     LEGAL_TRANSITIONS,
-    READ_GRACE_S,
+    REJECT_FURTHER_AFTER_S,
     DrainRequester,
+    DrainStage,
     Lifecycle,
     State,
 )
@@ -29,6 +34,11 @@
         self.lifecycle, self.now = Lifecycle(), 0.0
         self.history: list[tuple[str, float, bool]] = []
         self.requesters: set[DrainRequester] = set()
+        self.longest_deadline_s = 2.0
+
+    @initialize(longest_deadline_s=st.sampled_from([0.5, 2.0, 3.0, 10.0]))
+    def set_longest_deadline(self, longest_deadline_s: float) -> None:
+        self.longest_deadline_s = longest_deadline_s
 
     @rule(step=st.sampled_from([0.0, 0.05, 0.3, 0.5, 1.5, 4.0]))
     def wait(self, step: float) -> None:
@@ -59,7 +69,7 @@
     @rule(has_successor=st.booleans())
     def stop(self, has_successor: bool) -> None:
         is_first = "stop" not in [transition[0] for transition in self.history]
-        assert self.lifecycle.stop(self.now, has_successor) == is_first
+        assert self.lifecycle.stop(self.now, self.longest_deadline_s, has_successor) == is_first
         if is_first:
             self.history.append(("stop", self.now, has_successor))
 
@@ -74,17 +84,20 @@
         drained_for = self.now - drained_at if drained_at is not None else -1.0
         has_successor = last[0] == "stop" and last[2]
         stopped_at = last[1] if last[0] == "stop" else math.inf
-        assert (
-            self.lifecycle.last_response_at(2.0) == stopped_at + 2.0 + KILL_DELAY_S - LAST_RESPONSE_MARGIN_S
-        )
-        latest = stopped_at + KILL_MAX_DEADLINE_S + KILL_DELAY_S - LAST_RESPONSE_MARGIN_S
-        assert self.lifecycle.last_response_at(10.0) == latest
+        kill_at = stopped_at + min(self.longest_deadline_s, KILL_MAX_DEADLINE_S) + KILL_DELAY_S
+        assert self.lifecycle.last_response_at() == kill_at - LAST_RESPONSE_MARGIN_S
         assert self.lifecycle.is_serving() == serving
         assert self.lifecycle.is_ready() == (serving or has_successor)
-        assert self.lifecycle.closes_idle_connections(self.now) == (
-            has_successor or drained_for >= DRAIN_GRACE_S
-        )
-        assert self.lifecycle.reads_while_responding(self.now) == (drained_for < READ_GRACE_S)
+        stage = self.lifecycle.drain_stage(self.now)
+        time_left = kill_at - self.now
+        ends_connections = has_successor or drained_for >= DRAIN_GRACE_S
+        assert (stage >= DrainStage.END_WITH_RESPONSE) == ends_connections
+        is_late = drained_for >= END_AT_REST_AFTER_S or time_left <= END_AT_REST_BEFORE_KILL_S
+        assert (stage >= DrainStage.END_AT_REST) == (ends_connections and is_late)
+        is_rejecting = drained_for >= REJECT_FURTHER_AFTER_S or is_late
+        assert (stage >= DrainStage.REJECT_FURTHER) == (ends_connections and is_rejecting)
+        must_end = drained_for >= FORCE_END_AFTER_S or time_left <= FORCE_END_BEFORE_KILL_S
+        assert (stage == DrainStage.FORCE_END) == (ends_connections and must_end)
         if last[0] == "stop":
             accepts = not has_successor and drained_for < DRAIN_GRACE_S
             assert self.lifecycle.accepts_connections(self.now) == accepts
