Keep client connections between two commands for 60 s where there is room, 2 s where not

Change: 2 s stay for connections without a command and for incomplete commands; between commands a connection is kept for 60 s.

--- a/mapleshunt/net/client/connection.py
+++ b/mapleshunt/net/client/connection.py
@@ -362,7 +362,9 @@
         is_command_late = (
             has_partial_command and now - self.command_started_at > limits.COMMAND_READ_TIMEOUT_S
         )
-        return is_command_late or now - self.last_activity_at >= limits.IDLE_TIMEOUT_S
+        is_between_commands = self.command_count > 0 and not has_partial_command
+        timeout_s = limits.IDLE_TIMEOUT_S if is_between_commands else limits.RECEIVE_TIMEOUT_S
+        return is_command_late or now - self.last_activity_at >= timeout_s
 
     def _reply_and_close(self, data: bytes, reason: ClientCloseReason) -> None:
         """Process no further command; close once the pending responses and then `data` are written."""
--- a/mapleshunt/net/client/connections.py
+++ b/mapleshunt/net/client/connections.py
@@ -60,26 +60,30 @@
         del self.connections[connection]
 
     def evict_idle(self, idle_s: float = 0.0) -> bool:
-        """Close one connection that has been idle for `idle_s`; return whether one was.
+        """Close one connection that is at rest; return whether one was.
 
         The newest is kept until it has sent a command, which may be in transit.
         Connections that have sent nothing are evicted first: clients that open hundreds of connections and
-        send nothing must not displace those that send requests.
+        send nothing must not displace those that send requests. Of the others, the one that has been idle
+        longest is evicted, if it has been so for `idle_s`.
         """
         now = asyncio.get_running_loop().time()
         newest = next(reversed(self.connections), None)
         candidates = [
             connection
             for connection in self.connections
-            if (connection is not newest or connection.command_count)
-            and now - connection.last_activity_at >= idle_s
+            if connection is not newest or connection.command_count
         ]
         for connection in candidates:
             is_silent = now - connection.last_activity_at > limits.EVICT_SILENT_AFTER_S
             if is_silent and not connection.command_count and connection.end_if_at_rest(EVICTED):
                 return True
         candidates.sort(key=lambda connection: connection.last_activity_at)
-        return any(connection.end_if_at_rest(EVICTED) for connection in candidates)
+        return any(
+            connection.end_if_at_rest(EVICTED)
+            for connection in candidates
+            if now - connection.last_activity_at >= idle_s
+        )
 
     def close_lingering(self, max_lingering: int) -> None:
         """Close the oldest lingering connections beyond `max_lingering`."""
@@ -90,7 +94,7 @@
     def reap_overdue(self, max_connections: int, idle_s: float) -> None:
         """Close connections that are idle, stall within a command or do not read their responses.
 
-        While there are more than `max_connections`, those idle for `idle_s` are closed too.
+        While there are more than `max_connections`, silent ones and those idle for `idle_s` are evicted.
         """
         now = asyncio.get_running_loop().time()
         for connection in list(self.connections):
--- a/mapleshunt/net/client/limits.py
+++ b/mapleshunt/net/client/limits.py
@@ -14,8 +14,10 @@
 MAX_UNWRITTEN_BYTES = MAX_PIPELINED_COMMANDS * (resp.MAX_VALUE_BYTES + 64)
 # How long the gateway waits for the client to close its side after the last response.
 LINGER_TIMEOUT_S = 1.0
-# How long a connection may be idle, or hold an incomplete command, without receiving a byte.
-IDLE_TIMEOUT_S = 2.0
+# How long a connection may go without receiving a byte before its first command or within a command.
+RECEIVE_TIMEOUT_S = 2.0
+# How long a connection may be idle between two commands; it is evicted sooner where connections are many.
+IDLE_TIMEOUT_S = 60.0
 # From a command's first byte to its last, even if bytes keep arriving.
 COMMAND_READ_TIMEOUT_S = 10.0
 # After this time a connection that has sent no command is evicted before any other.
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -243,6 +243,7 @@
     # Closing it lost a request that had arrived but was not read yet.
     async def steps(connection: connection_module.ClientConnection, client_end: socket.socket) -> None:
         monkeypatch.setattr(limits, "IDLE_TIMEOUT_S", -1.0)
+        monkeypatch.setattr(limits, "RECEIVE_TIMEOUT_S", -1.0)
         ours, other = socket.socketpair()
         registry_of(connection).add(IOStream(ours))
         await run_pending_callbacks()
@@ -276,6 +277,18 @@
     run_steps(steps)
 
 
+def test_connection_between_two_commands_is_kept_until_its_idle_timeout() -> None:
+    async def steps(connection: connection_module.ClientConnection, client_end: socket.socket) -> None:
+        client_end.send(resp.encode_command([b"PING"]))
+        await run_pending_callbacks()
+        connection.close_if_overdue(connection.last_activity_at + 2 * limits.RECEIVE_TIMEOUT_S)
+        assert not connection.closing
+        connection.close_if_overdue(connection.last_activity_at + limits.IDLE_TIMEOUT_S)
+        assert connection.close_reason == "idle"
+
+    run_steps(steps)
+
+
 @pytest.mark.parametrize(
     ("command_start", "expected"),
     [(b"", b""), (b"*2\r\n$4\r\nPI", b"-ERR a command was begun and not ended\r\n")],
@@ -288,7 +301,7 @@
         await run_pending_callbacks()
         registry_of(connection).reap_overdue(9, 0.5)
         assert not connection.stream.closed()
-        monkeypatch.setattr(limits, "IDLE_TIMEOUT_S", -1.0)
+        monkeypatch.setattr(limits, "RECEIVE_TIMEOUT_S", -1.0)
         registry_of(connection).reap_overdue(9, 0.5)
         await run_pending_callbacks()
         assert client_end.recv(100) == expected
@@ -579,11 +592,11 @@
             await wait_until(lambda: connection.last_activity_at > activity_times[-1])
             connection.close_if_overdue(asyncio.get_running_loop().time())
             assert not connection.closing
-        connection.close_if_overdue(connection.last_activity_at + limits.IDLE_TIMEOUT_S / 2)
+        connection.close_if_overdue(connection.last_activity_at + limits.RECEIVE_TIMEOUT_S / 2)
         assert not connection.closing
         # The time limit for a whole command still applies.
         connection.command_started_at -= limits.COMMAND_READ_TIMEOUT_S
-        connection.close_if_overdue(connection.last_activity_at + limits.IDLE_TIMEOUT_S / 2)
+        connection.close_if_overdue(connection.last_activity_at + limits.RECEIVE_TIMEOUT_S / 2)
         assert connection.close_reason == "half_a_command"
 
     run_steps(steps)
