Wait for clients to close after a late end before the process exits

Cause: connections at rest are ended up to 2 s after SIGTERM and their clients have 1 s to close; the process gave up 0.5 s after the longest deadline and the grace, with deadlines of 2 s in the same moment: the close was 'stopped' at times and may reset what a client has not read. Seen in test_serves_within_the_quota (reason=drained expected) beside other tests, once. Change: it exits 0.5 s after the earliest time of a kill if clients stay, or after the longest deadline as before.

--- a/mapleshunt/lifecycle/lifecycle.py
+++ b/mapleshunt/lifecycle/lifecycle.py
@@ -76,7 +76,9 @@
         self._drain_started_at = -math.inf  # when draining, or stopping without a drain, began
         self._has_successor = False  # another process serves clients at the same address
         self._stop_requested_at = math.inf
-        self._kill_at = math.inf  # the earliest time at which the process may be killed
+        self.kill_at = (
+            math.inf
+        )  # the earliest time at which the process may be killed; infinity unless stopping
 
     def _enter(self, state: State) -> bool:
         if state not in LEGAL_TRANSITIONS[self.state]:
@@ -122,7 +124,7 @@
             self._drain_started_at = now
         self._has_successor = has_successor
         self._stop_requested_at = now
-        self._kill_at = now + min(longest_deadline_s, KILL_MAX_DEADLINE_S) + KILL_DELAY_S
+        self.kill_at = now + min(longest_deadline_s, KILL_MAX_DEADLINE_S) + KILL_DELAY_S
         return True
 
     # Behaviour that follows from the state.
@@ -156,14 +158,14 @@
         first = started_at + DRAIN_GRACE_S
         if self.state is State.STOPPING and self._has_successor:
             first = self._stop_requested_at
-        at_rest = max(first, min(started_at + END_AT_REST_AFTER_S, self._kill_at - END_AT_REST_BEFORE_KILL_S))
+        at_rest = max(first, min(started_at + END_AT_REST_AFTER_S, self.kill_at - END_AT_REST_BEFORE_KILL_S))
         return {
             DrainStage.NONE: -math.inf,
             DrainStage.END_WITH_RESPONSE: first,
             DrainStage.REJECT_FURTHER: max(first, min(started_at + REJECT_FURTHER_AFTER_S, at_rest)),
             DrainStage.END_AT_REST: at_rest,
             DrainStage.FORCE_END: max(
-                at_rest, min(started_at + FORCE_END_AFTER_S, self._kill_at - FORCE_END_BEFORE_KILL_S)
+                at_rest, min(started_at + FORCE_END_AFTER_S, self.kill_at - FORCE_END_BEFORE_KILL_S)
             ),
         }
 
@@ -172,7 +174,7 @@
 
         Infinity unless stopping.
         """
-        return self._kill_at - LAST_RESPONSE_MARGIN_S
+        return self.kill_at - LAST_RESPONSE_MARGIN_S
 
     def _is_draining_or_stopping(self) -> bool:
         return self.state in (State.DRAINING, State.STOPPING)
--- a/mapleshunt/server/gateway_server.py
+++ b/mapleshunt/server/gateway_server.py
@@ -46,7 +46,7 @@
 # while startup keeps the processor busy stay unread in the kernel's queue, and their remaining time would be
 # counted only from when they are read.
 LISTEN_DELAY_S = 0.002
-SHUTDOWN_MARGIN_S = 0.5  # after the longest deadline, for writing pending responses
+SHUTDOWN_MARGIN_S = 0.5  # after the longest deadline and the time of a kill, for writing pending responses
 SHUTDOWN_POLL_INTERVAL_S = 0.01
 UPSTREAM_SWEEP_INTERVAL_S = 1.0
 CLIENT_SWEEP_INTERVAL_S = 0.1
@@ -276,7 +276,9 @@
             await self.clients.accept_backlog()
         self.clients.close_listeners()
         self.controller.update_timer()
-        await self._finish_requests(longest_deadline_s + SHUTDOWN_MARGIN_S)
+        # Connections that are ended late still wait for their clients to close.
+        time_to_kill_s = self.lifecycle.kill_at - _now()
+        await self._finish_requests(max(longest_deadline_s, time_to_kill_s) + SHUTDOWN_MARGIN_S)
 
     async def _finish_requests(self, timeout_s: float) -> None:
         try:
