Evict connections that sent a single command before those that go on sending

Change: silent connections first as before, then those that sent a single command (clients that ask once and stay), then the others; of each the one that has been idle longest.

--- a/mapleshunt/net/client/connections.py
+++ b/mapleshunt/net/client/connections.py
@@ -64,7 +64,8 @@
 
         The newest is kept until it has sent a command, which may be in transit.
         Connections that have sent nothing are evicted first: clients that open hundreds of connections and
-        send nothing must not displace those that send requests. Of the others, the one that has been idle
+        send nothing must not displace those that send requests. Next come those that sent a single command,
+        since their clients may never send another. Of these and of the others the one that has been idle
         longest is evicted, if it has been so for `idle_s`.
         """
         now = asyncio.get_running_loop().time()
@@ -78,7 +79,7 @@
             is_silent = now - connection.last_activity_at > limits.EVICT_SILENT_AFTER_S
             if is_silent and not connection.command_count and connection.end_if_at_rest(EVICTED):
                 return True
-        candidates.sort(key=lambda connection: connection.last_activity_at)
+        candidates.sort(key=lambda connection: (connection.command_count > 1, connection.last_activity_at))
         return any(
             connection.end_if_at_rest(EVICTED)
             for connection in candidates
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -213,6 +213,24 @@
     run_steps(steps)
 
 
+def test_connection_that_sent_a_single_command_is_evicted_before_a_used_one_idle_for_longer() -> None:
+    async def steps(connection: connection_module.ClientConnection, client_end: socket.socket) -> None:
+        pairs = [socket.socketpair() for _ in range(2)]
+        for ours, other in pairs:
+            registry_of(connection).add(IOStream(ours))
+            other.send(resp.encode_command([b"PING"]))
+        client_end.send(2 * resp.encode_command([b"PING"]))
+        await wait_until(lambda: connection.command_count == 2 and not connection.pause_reason)
+        connection.last_activity_at -= 1.0
+        assert registry_of(connection).evict_idle() and registry_of(connection).evict_idle()
+        assert not connection.closing
+        assert registry_of(connection).evict_idle() and connection.closing
+        for _, other in pairs:
+            other.close()
+
+    run_steps(steps)
+
+
 def test_idle_connections_beyond_limit_are_reaped_and_busy_one_is_not() -> None:
     # Clients that sent one command and stayed connected used capacity that others needed.
     async def steps(connection: connection_module.ClientConnection, client_end: socket.socket) -> None:
