Count a request's time from when its bytes arrived, on every connection

What callers saw: a gateway that was held up, or got no processor, counted a request's time from its reading. Cause: the kernel's time of arrival was asked only for the first bytes of a connection that had stood in the backlog. Change: it is asked after every read, one mechanism for both; the bookkeeping of the backlog's waits is gone.

--- a/mapleshunt/net/client/connection.py
+++ b/mapleshunt/net/client/connection.py
@@ -65,10 +65,9 @@
     and the end leave in one segment: no request can follow the one and be crossed by the other.
     """
 
-    def __init__(self, stream: IOStream, registry: ConnectionRegistry, backlog_wait_s: float = 0.0) -> None:
-        """Serve an accepted stream that spent at most `backlog_wait_s` in the accept backlog."""
+    def __init__(self, stream: IOStream, registry: ConnectionRegistry) -> None:
+        """Serve an accepted stream."""
         self.stream, self.registry = stream, registry
-        self.backlog_wait_s = backlog_wait_s
         self.loop = asyncio.get_running_loop()
         self.buffer = ReadBuffer(resp.MAX_MESSAGE_BYTES)
         self.consumed_bytes = 0  # total that was parsed as commands
@@ -138,25 +137,19 @@
 
     async def _read(self) -> None:
         was_empty = self.buffer.start == self.buffer.end
-        age_s = self._age_of_first_bytes()
         await self.buffer.fill(self.stream)
         self.last_activity_at = self.last_read_at = self.loop.time()
         if was_empty:
             self.command_started_at = self.last_activity_at
         read_bytes = self.consumed_bytes + self.buffer.end - self.buffer.start
-        self.arrivals.append((read_bytes, self.last_activity_at - age_s))
+        self.arrivals.append((read_bytes, self.last_activity_at - self._age_of_last_data()))
         if len(self.arrivals) > 4 * limits.MAX_PIPELINED_COMMANDS:
             self.arrivals.popleft()
 
-    def _age_of_first_bytes(self) -> float:
-        """Return how many seconds ago the first bytes of a connection from the backlog arrived; else 0.
-
-        Their client has been waiting since then. All later bytes are read as they arrive.
-        """
-        waited_s, self.backlog_wait_s = self.backlog_wait_s, 0.0
-        if not waited_s or not self.has_unread_bytes():
-            return 0.0
-        return min(waited_s, socket_state.seconds_since_last_data(self.stream.socket))
+    def _age_of_last_data(self) -> float:
+        """Return how many seconds ago the kernel received the last bytes; their client waits since then."""
+        sock = self._raw_socket()
+        return 0.0 if sock is None else socket_state.seconds_since_last_data(sock)
 
     async def _discard_input(self) -> None:
         count = await self.stream.read_into(_discard_buffer(), partial=True)
@@ -168,7 +161,7 @@
         if self.crossing_reported or not self.ended_at or not data:
             return
         self.crossing_reported = True
-        age_s = socket_state.seconds_since_last_data(self.stream.socket) if self._raw_socket() else 0.0
+        age_s = self._age_of_last_data()
         report_crossing(self.close_reason, data, self.ended_at, age_s, self.registry.counters)
 
     # Commands
--- a/mapleshunt/net/client/connections.py
+++ b/mapleshunt/net/client/connections.py
@@ -48,9 +48,9 @@
         # Called when a connection frees its capacity.
         self.on_connection_ended: Callable[[], None] = lambda: None
 
-    def add(self, stream: IOStream, backlog_wait_s: float = 0.0) -> None:
-        """Serve a connection that spent at most `backlog_wait_s` in the accept backlog."""
-        connection = ClientConnection(stream, self, backlog_wait_s)
+    def add(self, stream: IOStream) -> None:
+        """Serve a connection."""
+        connection = ClientConnection(stream, self)
         self.connections[connection] = None
         self.counters.add("client_connections")
         connection.task = asyncio.get_running_loop().create_task(connection.run())
--- a/mapleshunt/net/client/listener.py
+++ b/mapleshunt/net/client/listener.py
@@ -5,7 +5,6 @@
 import asyncio
 import enum
 import errno
-import math
 import socket
 from collections.abc import Callable
 
@@ -58,7 +57,6 @@
         counters: Counters,
         counter_prefix: str = "",
         on_descriptors_exhausted: Callable[[], object] = lambda: None,
-        inherited: bool = False,
     ) -> None:
         """Create a stopped acceptor.
 
@@ -68,7 +66,6 @@
             counters: the gateway's counters.
             counter_prefix: prefix of the names of counters and log events.
             on_descriptors_exhausted: called when this process has reached its descriptor limit.
-            inherited: the socket listened before this process started, so its backlog may hold connections.
         """
         self.listener, self.on_accept, self.counters = listener, on_accept, counters
         self.counter_prefix = counter_prefix
@@ -76,8 +73,6 @@
         self.running = False
         self.retry_timer: asyncio.TimerHandle | None = None
         self.retry_delay = MIN_ACCEPT_RETRY_DELAY_S
-        # Seconds on the loop's clock since when connections may wait in the backlog; None if none does.
-        self.blocked_since: float | None = -math.inf if inherited else None
 
     def start(self) -> None:
         """Accept connections as they arrive."""
@@ -87,7 +82,6 @@
 
     def stop(self) -> None:
         """Stop accepting; new connections wait in the backlog."""
-        self._block()
         if self.running and self.retry_timer is None:
             IOLoop.current().remove_handler(self.listener)
         if self.retry_timer is not None:
@@ -113,7 +107,6 @@
         try:
             connection, _address = self.listener.accept()
         except BlockingIOError:
-            self.blocked_since = None
             return AcceptResult.EMPTY
         except OSError as error:
             return self._accept_failed(error)
@@ -135,7 +128,6 @@
         log.log_event(f"{self.counter_prefix}accept_failed", why=error)
         if error.errno not in RESOURCE_ERRORS:
             return AcceptResult.CONNECTION_FAILED
-        self._block()
         if error.errno == errno.EMFILE:
             self._call_logging_exceptions(self.on_descriptors_exhausted)
         return AcceptResult.NO_RESOURCES
@@ -151,14 +143,6 @@
                 self._pause()
                 return
 
-    def _block(self) -> None:
-        if self.blocked_since is None:
-            self.blocked_since = asyncio.get_running_loop().time()
-
-    def max_backlog_wait_s(self) -> float:
-        """Return the longest time that a connection accepted now may have spent in the backlog."""
-        return 0.0 if self.blocked_since is None else asyncio.get_running_loop().time() - self.blocked_since
-
     def _pause(self) -> None:
         if self.running and self.retry_timer is None:
             IOLoop.current().remove_handler(self.listener)
--- a/mapleshunt/server/client_admission.py
+++ b/mapleshunt/server/client_admission.py
@@ -45,14 +45,13 @@
         self._counters = counters
         connections.on_connection_ended = self.resume_accepting
 
-    def add_listener(self, listener: socket.socket, inherited: bool) -> None:
-        """Accept from this socket too. An inherited one listened before this process started."""
+    def add_listener(self, listener: socket.socket) -> None:
+        """Accept from this socket too."""
         acceptor = Acceptor(
             listener,
             self._accept,
             self._counters,
             on_descriptors_exhausted=self.free_descriptors,
-            inherited=inherited,
         )
         self.listeners.append(listener)
         self.acceptors.append(acceptor)
@@ -63,10 +62,7 @@
             listener.listen(BACKLOG)
 
     def _accept(self, connection: socket.socket) -> None:
-        backlog_wait_s = max(acceptor.max_backlog_wait_s() for acceptor in self.acceptors)
-        self.connections.add(
-            IOStream(connection, max_write_buffer_size=self.max_unwritten_bytes), backlog_wait_s
-        )
+        self.connections.add(IOStream(connection, max_write_buffer_size=self.max_unwritten_bytes))
         if not self.has_capacity() and not self.connections.evict_idle():
             log.log_event("accepting_paused", client_connections=len(self.connections.connections))
             self.stop_accepting()
--- a/mapleshunt/server/gateway_server.py
+++ b/mapleshunt/server/gateway_server.py
@@ -152,7 +152,7 @@
         if config.admin_address is not None:
             await steps.run("door", self._open_admin_endpoint)
         listener = await steps.run("listener", lambda: _client_listener(config))
-        self.clients.add_listener(listener, inherited=config.accept_fd is not None)
+        self.clients.add_listener(listener)
 
     def _join_hot_restart(self) -> None:
         from tempfile import gettempdir  # imports shutil and its compressors, 0.3 MB
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -6,6 +6,7 @@
 import itertools
 import socket
 import threading
+import time
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
@@ -490,6 +491,24 @@
     run_steps(steps)
 
 
+def test_time_that_a_request_waited_while_the_gateway_was_held_up_is_taken_off_its_timeout() -> None:
+    # The timeout was counted from the reading: clients left before the response to a request that failed.
+    async def steps(_: connection_module.ClientConnection, __: socket.socket) -> None:
+        driver, (ours, client_end) = FakeDriver(), tcp_pair()
+        service = ClientConnections(cast(PolicyDriver, driver), driver.counters, 1, 1000)
+        service.add(IOStream(ours))
+        await run_pending_callbacks()
+        client_end.send(query())
+        time.sleep(0.2)
+        await wait_until(lambda: driver.open_requests)
+        (context,) = driver.open_requests.values()
+        assert context.request.remaining_time <= 480.0 - 180.0
+        client_end.close()
+        await wait_until(lambda: not service.connections)
+
+    run_steps(steps)
+
+
 def test_commands_read_before_shutdown_get_their_responses() -> None:
     # Complete commands that had been read were dropped when the connection closed.
     async def steps(connection: connection_module.ClientConnection, client_end: socket.socket) -> None:
