--- a/mapleshunt/server/client_admission.py
+++ b/mapleshunt/server/client_admission.py
@@ -20,7 +20,7 @@
 
 BACKLOG = 512  # connections that the kernel queues until they are accepted
 MAX_LINGERING = 8  # connections that only wait for the client to close, beyond those that are served
-CROWDED_IDLE_TIMEOUT_S = 2.0  # idle time allowed between commands above the eviction threshold
+CROWDED_IDLE_TIMEOUT_S = 0.1  # idle time allowed between commands above the eviction threshold
 
 
 class ClientAdmission:
