--- a/mapleshunt/testbed/soak/fleet.py
+++ b/mapleshunt/testbed/soak/fleet.py
@@ -35,7 +35,8 @@
 from .backends import SoakBackend
 from .clients import LATE_ANSWER_LIMIT_MS, SoakClients
 from .discovery_agent import SoakDiscoveryAgent
-from .fault_injection import KILL_DURATION_MS, TERMINATION_MARGIN_MS, FaultInjectedFleet
+from .fault_injection import FaultInjectedFleet
+from .process_faults import KILL_DURATION_MS, TERMINATION_MARGIN_MS
 from .replicas import SoakReplicas
 from .report import SoakReport
 from .schedule import ScheduledFault
