--- a/mapleshunt/lifecycle/lifecycle.py
+++ b/mapleshunt/lifecycle/lifecycle.py
@@ -53,9 +53,7 @@
 
     NONE = 0  # connections are kept
     END_WITH_RESPONSE = 1  # a connection ends together with its next response
-    REJECT_FURTHER = (
-        2  # requests behind the one that was answered last, or behind a pending one, are rejected
-    )
+    REJECT_FURTHER = 2  # requests behind a pending one, or behind an answer in the drain, are rejected
     END_AT_REST = 3  # connections without a request end too
     FORCE_END = 4  # a connection ends even if its client goes on sending
 
@@ -76,9 +74,8 @@
         self._drain_started_at = -math.inf  # when draining, or stopping without a drain, began
         self._has_successor = False  # another process serves clients at the same address
         self._stop_requested_at = math.inf
-        self.kill_at = (
-            math.inf
-        )  # the earliest time at which the process may be killed; infinity unless stopping
+        # The earliest time at which the process may be killed; infinity unless stopping.
+        self.kill_at = math.inf
 
     def _enter(self, state: State) -> bool:
         if state not in LEGAL_TRANSITIONS[self.state]:
