--- a/review/1/case.py
+++ b/review/1/case.py
@@ -52,7 +52,7 @@
 async def send_batch(port: int, at_once: int, rng: random.Random, record: Record) -> list[Sent]:
     """Send commands at once on a new connection, read every answer, and close."""
     batch = [Sent(f"{rng.getrandbits(64):016x}") for _ in range(at_once)]
-    pairs = f"c=berth-find,t=basic,units=1,spread=3,first=0,d={1000 * TIMEOUT_S:.0f}".encode()
+    pairs = f"c=berth-find,t=full,units=1,spread=3,first=0,d={1000 * TIMEOUT_S:.0f}".encode()
     data = b"".join(
         encode_command(
             b"SVC.QUERY", f"{rng.randrange(1, 1 << 32):016x}".encode(), sent.request_id.encode(), pairs
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -57,7 +57,7 @@
     """Send many commands at full speed, and read what is sent until the connection ends."""
     rng = random.Random(number)
     answers, sent, body = 0, 0, b"x" * BODY_BYTES
-    pairs = b"c=gate-pass,t=basic,units=1,spread=3,first=0,d=4500"
+    pairs = b"c=gate-pass,t=full,units=1,spread=3,first=0,d=4500"
     reader = writer = None
     reading = None
     try:
@@ -120,7 +120,7 @@
         record.say(f"ready with {gateway.memory_mb():.0f} MB of {MEMORY_MB} MB")
         platform = Platform(gateway)
         client = Client(
-            gateway.port, record, b"SVC.QUERY", "c=berth-find,t=basic,units=1,spread=3,first=0", 2.0
+            gateway.port, record, b"SVC.QUERY", "c=berth-find,t=full,units=1,spread=3,first=0", 2.0
         )
         loading = asyncio.create_task(load(client))
         await asyncio.sleep(FLOOD_AT_S)
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -478,15 +478,13 @@
     fall_multiple: float = 2.5,
     tip_after_ms: float = 2000.0,
 ) -> dict[str, Any]:
-    """Return a settings object with the names of the pages; plans are wide, so that no quota binds."""
+    """Return a settings object with the names of the pages; plans are those of durban-yard."""
     plan = {
         "AtOnce": 0,
         "BeyondEarns": 0.0,
-        "Burst": 4000.0,
         "ExcessCost": 1.0,
         "HardBurst": 0.0,
         "HardRate": 0.0,
-        "QuotaRate": 1000.0,
         "Tolerance": 0.0,
         "ValueFactor": 1.0,
     }
@@ -507,7 +505,10 @@
         "Layer": 0,
         "Me": index,
         "NInstances": count,
-        "Packages": [{"Name": name, **plan} for name in ("basic", "standard", "full")],
+        "Packages": [
+            {"Name": name, "QuotaRate": rate, "Burst": burst, **plan}
+            for name, rate, burst in (("basic", 0.8, 3.6), ("standard", 3.0, 12.0), ("full", 12.0, 24.0))
+        ],
         "PolicyLimits": {
             "ConnIdle": idle_ms,
             "CpuUsPerRequest": 0.0,
