Log what was unwritten or refused when a client connection ends, and guard it

client_connection_ended now has unwritten (bytes that the kernel has not taken) and refused (bytes that the stream never took); the guard reports closed_over_unsent_responses when a connection ends by the gateway less than 3 s after a response of which a part was refused or is not in the kernel. The writes of a client connection are in a class of their own (net/client/write_buffer.py).

The test of the guard's close facts has the former rows and three more.

--- a/mapleshunt/invariants.py
+++ b/mapleshunt/invariants.py
@@ -23,6 +23,10 @@
 ALLOWANCE_TOLERANCE = 1e-6
 # Reasons for which a client connection may end with requests unanswered, all caused by its client.
 CLIENT_REASONS = frozenset({"client_closed", "client_reset", "slow_client"})
+# Time that a client has to read a response before its connection may end over a part of it, ms.
+MIN_RESPONSE_READ_MS = 3000.0
+# Reasons for which it may end earlier: its client ended it, or the process stops.
+RESPONSE_LOSS_REASONS = frozenset({"client_closed", "client_reset", "stopped"})
 
 
 class Guard(enum.Enum):
@@ -111,18 +115,37 @@
     return violations
 
 
-def violations_of_close(reason: str, unanswered: int, has_unread_bytes: bool) -> list[str]:
-    """Return the rules that closing a client connection violates.
+@dataclass(slots=True, frozen=True)
+class CloseFacts:
+    """A client connection that is about to be closed.
 
-    Args:
+    Attributes:
         reason: Why it is closed.
         unanswered: Requests that were read from it and not answered.
         has_unread_bytes: Whether bytes have arrived on it that were not read.
+        unsent_for: ms since the last response on it, of which a part was refused or is not in the kernel yet;
+            None if all responses are in the kernel.
     """
-    if reason in CLIENT_REASONS:
-        return []
-    violations = ["closed_with_requests_unanswered"] if unanswered else []
-    return [*violations, "closed_over_unread_bytes"] if has_unread_bytes else violations
+
+    reason: str
+    unanswered: int
+    has_unread_bytes: bool
+    unsent_for: float | None
+
+
+def violations_of_close(facts: CloseFacts) -> list[str]:
+    """Return the rules that closing a client connection violates."""
+    violations = []
+    is_read_in_time = facts.unsent_for is not None and facts.unsent_for < MIN_RESPONSE_READ_MS
+    if is_read_in_time and facts.reason not in RESPONSE_LOSS_REASONS:
+        violations.append("closed_over_unsent_responses")
+    if facts.reason in CLIENT_REASONS:
+        return violations
+    if facts.unanswered:
+        violations.append("closed_with_requests_unanswered")
+    if facts.has_unread_bytes:
+        violations.append("closed_over_unread_bytes")
+    return violations
 
 
 def violations_of_start(start_ms: float, has_accepted: bool) -> list[str]:
--- a/mapleshunt/net/client/connection.py
+++ b/mapleshunt/net/client/connection.py
@@ -12,9 +12,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
-from ...invariants import Guard, violations_of_close
+from ...invariants import CloseFacts, Guard, violations_of_close
 from ...lifecycle.lifecycle import DrainStage
 from .. import log
 from ..protocol import command_protocol, resp
@@ -25,6 +25,7 @@
 from .close_report import report_crossing
 from .requests import RequestRegistry, admit_request, parse_command
 from .response_slot import ResponseSlot
+from .write_buffer import WriteBuffer, WriteError
 
 PONG = b"+PONG\r\n"
 
@@ -73,7 +74,7 @@
         self.consumed_bytes = 0  # total that was parsed as commands
         self.arrivals: deque[tuple[int, float]] = deque()  # total bytes read so far, and when
         self.slots: deque[ResponseSlot] = deque()  # commands that await their response, in order
-        self.pending_write: asyncio.Future[None] | None = None
+        self.output = WriteBuffer(stream)
         self.pause_reason: PauseReason | None = None
         self.closing = False  # no further command is processed
         self.answered_in_drain = False  # a response was written while the gateway was draining
@@ -83,7 +84,6 @@
         # The times are seconds on the loop's clock: when it was opened, or bytes were last read or written.
         self.opened_at = self.last_activity_at = self.last_read_at = self.loop.time()
         self.command_started_at = self.last_activity_at  # when the next command's first byte was read
-        self.last_write_at = 0.0  # when a response was last written
         self.ended_at = 0.0  # s, monotonic: when our side was shut down
         self.crossing_reported = False
         self.task: asyncio.Task[None] | None = None
@@ -176,9 +176,9 @@
                 # Bounds the memory that a client which does not read its responses can occupy.
                 if len(self.slots) >= limits.MAX_PIPELINED_COMMANDS:
                     self.pause_reason = PauseReason.PIPELINE_FULL
-                elif self.pending_write is not None and not self.pending_write.done():
+                elif self.output.is_writing():
                     self.pause_reason = PauseReason.WRITING
-                    self.pending_write.add_done_callback(lambda _: self._resume())
+                    self.output.call_when_written(self._resume)
                 else:
                     self.consumed_bytes += parsed[1] - buffer.start
                     buffer.consume(parsed[1])
@@ -280,7 +280,7 @@
             self._end_with_response_if_draining()
             if self.closing and not self.slots:
                 socket_state.hold_back_last_segment(self._raw_socket())
-            self._write(b"".join(ready))
+            self._write(ready)
         is_pipeline_open = len(self.slots) < limits.MAX_PIPELINED_COMMANDS
         if self.pause_reason is PauseReason.PIPELINE_FULL and is_pipeline_open:
             self.pause_reason = PauseReason.TURN
@@ -297,28 +297,22 @@
         if not self.slots and not has_input:
             self.closing, self.close_reason = True, ClientCloseReason.DRAINED
 
-    def _write(self, data: bytes) -> None:
-        self.last_activity_at = self.last_write_at = self.loop.time()
+    def _write(self, responses: list[bytes]) -> None:
+        self.last_activity_at = self.loop.time()
         try:
-            self.pending_write = self.stream.write(data)
-        except StreamBufferFullError:
-            self.close(ClientCloseReason.SLOW_CLIENT)
-        except StreamClosedError:
-            self.close(ClientCloseReason.CLIENT_RESET)
+            self.output.write(responses, self.last_activity_at)
+        except WriteError as error:
+            self.close(error.reason)
 
     # State
 
-    def is_writing(self) -> bool:
-        """Return whether a response is not yet completely written."""
-        return self.pending_write is not None and not self.pending_write.done()
-
     def is_busy(self) -> bool:
         """Return whether a response is pending or being written, or a command is partly read."""
         has_partial_command = self.buffer.start != self.buffer.end and not self.closing
         if has_partial_command and self._must_end() and self.command_count:
             # A client that keeps sending would never become idle, so only paused complete commands count.
             has_partial_command = self.pause_reason is not None
-        return bool(self.slots) or has_partial_command or self.is_writing()
+        return bool(self.slots) or has_partial_command or self.output.is_writing()
 
     def _must_end(self) -> bool:
         return self.registry.drain_stage >= DrainStage.FORCE_END
@@ -338,8 +332,8 @@
         """Close the connection if its client does not read, stalls within a command or is idle too long."""
         if self.slots:
             return
-        if self.is_writing():
-            if now - self.last_write_at > limits.RESPONSE_READ_TIMEOUT_S:
+        if self.output.is_writing():
+            if now - self.output.last_write_at > limits.RESPONSE_READ_TIMEOUT_S:
                 self.close(ClientCloseReason.SLOW_CLIENT)
             return
         has_partial_command = self.buffer.start != self.buffer.end
@@ -390,11 +384,11 @@
     def continue_close(self) -> None:
         """Continue a started close, or start one while draining, once the connection is not busy."""
         if self.is_busy():
-            if not self.slots and self.is_writing() and self.pending_write is not None:
-                self.pending_write.add_done_callback(lambda _: self.continue_close())
+            if not self.slots and self.output.is_writing():
+                self.output.call_when_written(self.continue_close)
         elif not self.closing:
             self._close_drained()
-        elif not self.last_write_at:  # no response was written that a reset could destroy
+        elif not self.output.last_write_at:  # no response was written that a reset could destroy
             self.close_lingering()
         elif self.linger_timer is None and self in self.registry.connections:
             self._linger()
@@ -442,7 +436,7 @@
         self.registry.on_connection_ended()
 
     def _log_close(self, reason: ClientCloseReason, has_unread_bytes: bool) -> None:
-        now = self.loop.time()
+        now, written_at = self.loop.time(), self.output.last_write_at
         log.log_event(
             "client_connection_ended",
             reason=reason,
@@ -450,7 +444,9 @@
             owed=len(self.slots),
             age=1000 * (now - self.opened_at),
             since_read=1000 * (now - self.last_read_at),
-            since_answer=1000 * (now - self.last_write_at) if self.last_write_at else "none",
+            since_answer=1000 * (now - written_at) if written_at else "none",
+            unwritten=self.output.unwritten_bytes,
+            refused=self.output.refused_bytes,
             unprocessed=self.buffer.unprocessed_bytes(),
             unread=int(has_unread_bytes),
         )
@@ -460,7 +456,8 @@
         trace.count_close("client_connections", reason)
         contexts = [slot.context for slot in self.slots if slot.context and slot.context.awaiting_response]
         # Without a written response there is none that a reset could destroy, so unread bytes do no harm.
-        is_unread = bool(self.last_write_at) and has_unread_bytes
+        is_unread = bool(self.output.last_write_at) and has_unread_bytes
+        unsent_s = self.output.unsent_for(self.loop.time())
+        facts = CloseFacts(reason, len(contexts), is_unread, None if unsent_s is None else 1000 * unsent_s)
         subject = contexts[0].client_request_id if contexts else "connection"
-        violations = violations_of_close(reason, len(contexts), is_unread)
-        trace.report_violations(Guard.CLOSE, violations, subject)
+        trace.report_violations(Guard.CLOSE, violations_of_close(facts), subject)
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -100,7 +100,7 @@
         commands = b"".join(query() for _ in range(1000))
         sending = loop.create_task(loop.sock_sendall(client_end, commands))
         # Respond until the kernel's buffers are full.
-        while connection.pending_write is None or connection.pending_write.done():
+        while not connection.output.is_writing():
             await run_pending_callbacks()
             for context in list(driver.open_requests.values()):
                 driver.open_requests.pop(context.request_id).response_sink.serve(
@@ -131,7 +131,7 @@
         slot.put(bytes(1 << 20))
         client_end.send(b"nonsense\r\n")
         await run_pending_callbacks()
-        assert connection.closing and connection.is_writing()
+        assert connection.closing and connection.output.is_writing()
         connection.close_if_overdue(connection.loop.time())
         assert connection in connection.registry.connections
         monkeypatch.setattr(limits, "RESPONSE_READ_TIMEOUT_S", -1.0)
@@ -287,7 +287,9 @@
         connection.stream.close()
         assert not connection.has_unread_bytes()
         registry_of(connection).evict_idle()
-        connection.last_write_at = 1.0  # a response was written, so that the close would shut the socket down
+        connection.output.last_write_at = (
+            1.0  # a response was written, so the close would shut down the socket
+        )
         connection.start_close(ClientCloseReason.DRAINED)
         await run_pending_callbacks()
         assert connection not in connection.registry.connections
--- a/tests/test_client_listener.py
+++ b/tests/test_client_listener.py
@@ -197,7 +197,7 @@
             idle_client = socket.create_connection(server.clients.listeners[0].getsockname())
             idle_client.sendall(PING)
             await wait_until(
-                lambda: any(connection.last_write_at for connection in server.connections.connections)
+                lambda: any(connection.output.last_write_at for connection in server.connections.connections)
             )
             server.clients.stop_accepting()
         client = socket.create_connection(server.clients.listeners[0].getsockname())
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -9,7 +9,7 @@
 import pytest
 
 from mapleshunt import invariants
-from mapleshunt.invariants import EarlierAttempt, Guard, RetryFacts, SendFacts
+from mapleshunt.invariants import CloseFacts, EarlierAttempt, Guard, RetryFacts, SendFacts
 from mapleshunt.net.counters import Counters
 from mapleshunt.policy import RequestClass, Settings
 
@@ -73,18 +73,21 @@
 
 
 @pytest.mark.parametrize(
-    ("reason", "unanswered", "unread", "violations"),
+    ("facts", "violations"),
     [
-        ("client_closed", 2, True, []),
-        ("idle", 0, False, []),
-        ("idle", 0, True, ["closed_over_unread_bytes"]),
-        ("stopped", 1, False, ["closed_with_requests_unanswered"]),
+        (CloseFacts("client_closed", 2, True, None), []),
+        (CloseFacts("idle", 0, False, None), []),
+        (CloseFacts("idle", 0, True, None), ["closed_over_unread_bytes"]),
+        (CloseFacts("stopped", 1, False, None), ["closed_with_requests_unanswered"]),
+        (CloseFacts("slow_client", 2, True, 2_999.0), ["closed_over_unsent_responses"]),
+        (CloseFacts("slow_client", 0, False, 3_000.0), []),
+        (CloseFacts("client_reset", 0, False, 0.0), []),
     ],
 )
-def test_close_is_checked_for_unanswered_requests_and_unread_bytes(
-    reason: str, unanswered: int, unread: bool, violations: list[str]
+def test_close_is_checked_for_unanswered_requests_unread_bytes_and_unsent_responses(
+    facts: CloseFacts, violations: list[str]
 ) -> None:
-    assert invariants.violations_of_close(reason, unanswered, unread) == violations
+    assert invariants.violations_of_close(facts) == violations
 
 
 def test_start_is_checked_for_duration_and_slow_start_for_allowance() -> None:
