--- a/mapleshunt/cli/rig.py
+++ b/mapleshunt/cli/rig.py
@@ -9,6 +9,7 @@
 
 from .model import load_scenario, size_options
 from .output import CommandError, json_option, print_json, service_rows, table
+from .rig_pipelines import pipelines
 
 if TYPE_CHECKING:
     from ..testbed.soak.schedule import FaultKind
@@ -31,6 +32,9 @@
     """Run real gateways on loopback sockets in an emulated fleet."""
 
 
+rig.add_command(pipelines)
+
+
 def _run_on_loopback(scenario: Any, seed: int, logs: Path | None, program: Path | None) -> Any:
     from ..simulation.day import draw_run
     from ..testbed import fleet
--- /dev/null
+++ b/mapleshunt/testbed/pipelines/clients.py
@@ -0,0 +1,129 @@
+"""Clients that send pipelines or single requests, and read at full speed."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import random
+from collections import Counter
+
+from ...net.protocol import resp
+from ..ports import HOST
+from .parameters import DEADLINE_MS, PLAN_NAME, READ_CLASS, WRITE_CLASS, PipelineParameters
+
+# A final answer counts until this long after the client's deadline, with 50 ms more on sockets.
+ANSWER_SLACK_S = 0.55
+SOUND_DEADLINE_MS = 2000.0
+READER_LIMIT_BYTES = 1 << 20
+CUSTOMERS = 1 << 32
+
+
+class AnswerKind(enum.StrEnum):
+    """What became of a command."""
+
+    SERVED = "served"
+    REJECTED = "rejected"
+    FAILED = "failed"
+    FOREIGN = "foreign"  # served with the value of another command
+    UNANSWERED = "unanswered"  # no whole answer in time
+    ENDED = "ended"  # the gateway ended the connection before its answer
+    NOT_TAKEN = "not_taken"  # the connection was refused or ended before the command was written
+
+
+LOST_KINDS = (AnswerKind.FOREIGN, AnswerKind.UNANSWERED, AnswerKind.ENDED)
+
+
+class ClientLoad:
+    """The clients of one run, and the answers to their commands by kind."""
+
+    def __init__(self, port: int, parameters: PipelineParameters) -> None:
+        """Prepare clients of the gateway at `port`."""
+        self._port, self._parameters = port, parameters
+        self.pipelined: Counter[AnswerKind] = Counter()
+        self.sound: Counter[AnswerKind] = Counter()
+        self.sound_waits_s: list[float] = []  # until an answer that is served
+
+    async def send_pipelines(self) -> None:
+        """Send the pipelines of all clients, and wait for the answers."""
+        async with asyncio.TaskGroup() as group:
+            for number in range(self._parameters.clients):
+                group.create_task(self._send_pipelines(random.Random(f"{self._parameters.seed}/{number}")))
+
+    async def _send_pipelines(self, rng: random.Random) -> None:
+        for _ in range(self._parameters.pipelines):
+            commands = [
+                _command(rng, DEADLINE_MS, self._parameters.body_bytes)
+                for _ in range(self._parameters.commands_at_once)
+            ]
+            self.pipelined.update(await self._exchange(commands, DEADLINE_MS))
+
+    async def send_sound_requests(self) -> None:
+        """Send short requests evenly until cancelled; those that are open then are not judged."""
+        rng = random.Random(f"{self._parameters.seed}/sound")
+        async with asyncio.TaskGroup() as group:
+            while True:
+                group.create_task(self._send_sound_request(_command(rng, SOUND_DEADLINE_MS, 0)))
+                await asyncio.sleep(1 / self._parameters.sound_rate)
+
+    async def _send_sound_request(self, command: tuple[bytes, bytes]) -> None:
+        sent_at = asyncio.get_running_loop().time()
+        kinds = await self._exchange([command], SOUND_DEADLINE_MS)
+        self.sound.update(kinds)
+        if kinds == [AnswerKind.SERVED]:
+            self.sound_waits_s.append(asyncio.get_running_loop().time() - sent_at)
+
+    async def _exchange(self, commands: list[tuple[bytes, bytes]], deadline_ms: float) -> list[AnswerKind]:
+        """Send commands, each with its request's id, at once on a new connection; return their answers."""
+        try:
+            reader, writer = await asyncio.open_connection(HOST, self._port, limit=READER_LIMIT_BYTES)
+        except OSError:
+            return [AnswerKind.NOT_TAKEN] * len(commands)
+        kinds: list[AnswerKind] = []
+        sending = asyncio.get_running_loop().create_task(_send(writer, commands))
+        try:
+            async with asyncio.timeout(deadline_ms / 1000 + ANSWER_SLACK_S):
+                for request_id, _ in commands:
+                    kinds.append(_kind_of(await _read_reply(reader), request_id))
+        except TimeoutError:
+            kinds += [AnswerKind.UNANSWERED] * (len(commands) - len(kinds))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            kinds += [AnswerKind.ENDED] * (len(commands) - len(kinds))
+        finally:
+            sending.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await sending
+            writer.close()
+        return kinds
+
+
+async def _send(writer: asyncio.StreamWriter, commands: list[tuple[bytes, bytes]]) -> None:
+    with contextlib.suppress(ConnectionError):
+        for _, data in commands:
+            writer.write(data)
+            await writer.drain()
+
+
+def _command(rng: random.Random, deadline_ms: float, body_bytes: int) -> tuple[bytes, bytes]:
+    """Return a new request's id and its command."""
+    request_id = b"%016x" % rng.getrandbits(64)
+    verb, class_name = (b"SVC.SUBMIT", WRITE_CLASS) if body_bytes else (b"SVC.QUERY", READ_CLASS)
+    pairs = f"c={class_name},t={PLAN_NAME},units=1,spread=1,first=0,d={deadline_ms:.0f}".encode()
+    words = [verb, b"%016x" % rng.randrange(CUSTOMERS), request_id, pairs]
+    if body_bytes:
+        words.append(b"x" * body_bytes)
+    return request_id, resp.encode_command(words)
+
+
+async def _read_reply(reader: asyncio.StreamReader) -> bytes:
+    """Read a reply: an error or simple line, or the content of a bulk string with its type byte."""
+    line = await reader.readuntil(resp.CRLF)
+    if line[:1] != b"$":
+        return line
+    return line[:1] + await reader.readexactly(int(line[1:]) + len(resp.CRLF))
+
+
+def _kind_of(reply: bytes, request_id: bytes) -> AnswerKind:
+    if reply[:1] == b"$":
+        return AnswerKind.SERVED if reply[1:].startswith(request_id) else AnswerKind.FOREIGN
+    return AnswerKind.REJECTED if reply.startswith(b"-BUSY") else AnswerKind.FAILED
