--- a/mapleshunt/net/client/connection.py
+++ b/mapleshunt/net/client/connection.py
@@ -25,7 +25,7 @@
 from .close_report import report_crossing
 from .requests import RequestRegistry, admit_request, parse_command
 from .response_slot import ResponseSlot
-from .write_buffer import WriteBuffer, WriteError
+from .write_buffer import WriteBuffer
 
 PONG = b"+PONG\r\n"
 
@@ -301,8 +301,8 @@
         self.last_activity_at = self.loop.time()
         try:
             self.output.write(responses, self.last_activity_at)
-        except WriteError as error:
-            self.close(error.reason)
+        except StreamClosedError:
+            self.close(ClientCloseReason.CLIENT_RESET)
 
     # State
 
@@ -446,7 +446,6 @@
             since_read=1000 * (now - self.last_read_at),
             since_answer=1000 * (now - written_at) if written_at else "none",
             unwritten=self.output.unwritten_bytes,
-            refused=self.output.refused_bytes,
             unprocessed=self.buffer.unprocessed_bytes(),
             unread=int(has_unread_bytes),
         )
--- a/mapleshunt/net/client/limits.py
+++ b/mapleshunt/net/client/limits.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from ..protocol import resp
 from ..protocol.read_buffer import CHUNK_BYTES
 
 # Commands of a connection that may await a response; further ones are not processed until one is answered.
@@ -10,8 +9,6 @@
 # Commands that may await a response, including those already rejected; beyond it the connection is closed as
 # a flood.
 MAX_REJECTED_COMMANDS = 4096
-# Response bytes that a client has not read: a full pipeline of the longest values and their framing.
-MAX_UNWRITTEN_BYTES = MAX_PIPELINED_COMMANDS * (resp.MAX_VALUE_BYTES + 64)
 # How long the gateway waits for the client to close its side after the last response.
 LINGER_TIMEOUT_S = 1.0
 # How long a connection may go without receiving a byte before its first command or within a command.
--- a/mapleshunt/net/client/write_buffer.py
+++ b/mapleshunt/net/client/write_buffer.py
@@ -3,28 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
-from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.iostream import IOStream
 
-from ..reasons import ClientCloseReason
-
-
-class WriteError(Exception):
-    """Responses cannot be written: the connection has to be closed for `reason`."""
-
-    def __init__(self, reason: ClientCloseReason) -> None:
-        """Store the reason."""
-        super().__init__(reason)
-        self.reason = reason
+MAX_JOINED_BYTES = 16384  # short responses share a write up to this size; longer ones are not copied
 
 
 class WriteBuffer:
     """Writes complete responses to a client's stream.
 
+    The stream must have no limit of its own: it would refuse a response whose request has run. What can be
+    unwritten is bounded by the commands that are taken from the client.
+
     Attributes:
-        unwritten_bytes: Bytes that the stream has accepted and the kernel has not taken.
-        refused_bytes: Bytes that the stream has refused, so that they are lost.
+        unwritten_bytes: Bytes that the kernel has not taken.
         last_write_at: When a response was last written, in s on the loop's clock; 0 if none was.
     """
 
@@ -33,27 +26,24 @@
         self._stream = stream
         self._pending: asyncio.Future[None] | None = None  # the last write
         self.unwritten_bytes = 0
-        self.refused_bytes = 0
         self.last_write_at = 0.0
 
-    def write(self, responses: list[bytes], now: float) -> None:
+    def write(self, responses: Iterable[bytes], now: float) -> None:
         """Write responses, in order.
 
         Raises:
-            WriteError: the stream is closed, or refuses them.
+            StreamClosedError: the stream is closed.
         """
         self.last_write_at = now
-        data = b"".join(responses)
-        try:
-            self._pending = self._stream.write(data)
-        except StreamBufferFullError:
-            self.refused_bytes += len(data)
-            raise WriteError(ClientCloseReason.SLOW_CLIENT) from None
-        except StreamClosedError:
-            raise WriteError(ClientCloseReason.CLIENT_RESET) from None
+        for data in join_short(responses):
+            self._write(data)
+
+    def _write(self, data: bytes) -> None:
+        size = len(data)
+        self._pending = self._stream.write(data)
         if not self._pending.done():
-            self.unwritten_bytes += len(data)
-            self._pending.add_done_callback(lambda _: self._written(len(data)))
+            self.unwritten_bytes += size
+            self._pending.add_done_callback(lambda _: self._written(size))
 
     def _written(self, size: int) -> None:
         self.unwritten_bytes -= size
@@ -69,4 +59,18 @@
 
     def unsent_for(self, now: float) -> float | None:
         """Return for how many seconds a response is not completely in the kernel; None if all are."""
-        return now - self.last_write_at if self.is_writing() or self.refused_bytes else None
+        return now - self.last_write_at if self.is_writing() else None
+
+
+def join_short(responses: Iterable[bytes]) -> Iterator[bytes]:
+    """Join neighbouring responses of at most `MAX_JOINED_BYTES` together; the others pass as they are."""
+    joined: list[bytes] = []
+    size = 0
+    for data in responses:
+        if joined and size + len(data) > MAX_JOINED_BYTES:
+            yield b"".join(joined)
+            joined, size = [], 0
+        joined.append(data)
+        size += len(data)
+    if joined:
+        yield b"".join(joined)
--- a/mapleshunt/server/client_admission.py
+++ b/mapleshunt/server/client_admission.py
@@ -32,12 +32,10 @@
         budget: DescriptorBudget,
         lifecycle: Lifecycle,
         counters: Counters,
-        max_unwritten_bytes: int,
     ) -> None:
-        """Start without a listener; `max_unwritten_bytes` bounds the unwritten responses of one client."""
+        """Start without a listener."""
         self.connections = connections
         self.budget = budget
-        self.max_unwritten_bytes = max_unwritten_bytes
         self.accepting = False
         self.listeners: list[socket.socket] = []
         self.acceptors: list[Acceptor] = []
@@ -62,7 +60,7 @@
             listener.listen(BACKLOG)
 
     def _accept(self, connection: socket.socket) -> None:
-        self.connections.add(IOStream(connection, max_write_buffer_size=self.max_unwritten_bytes))
+        self.connections.add(IOStream(connection))
         if not self.has_capacity() and not self.connections.evict_idle():
             log.log_event("accepting_paused", client_connections=len(self.connections.connections))
             self.stop_accepting()
--- a/mapleshunt/server/gateway_server.py
+++ b/mapleshunt/server/gateway_server.py
@@ -18,13 +18,11 @@
 from ..lifecycle.lifecycle import DrainRequester, Lifecycle
 from ..net import log
 from ..net.client.connections import ClientConnections
-from ..net.client.limits import MAX_UNWRITTEN_BYTES
 from ..net.client.listener import bind_socket
 from ..net.config import Config, ConfigError, format_address
 from ..net.counters import Counters
 from ..net.periodic import PeriodicTask
 from ..net.policy_driver import PolicyDriver
-from ..net.protocol import resp
 from ..net.reasons import ClientCloseReason
 from ..net.startup import StartupSteps
 from ..net.upstream.endpoint_group import EndpointGroup
@@ -51,8 +49,6 @@
 UPSTREAM_SWEEP_INTERVAL_S = 1.0
 CLIENT_SWEEP_INTERVAL_S = 0.1
 COUNTERS_LOG_INTERVAL_S = 10.0  # a process that is killed logs no counters at its end
-# The unwritten responses of one client are limited to the process's memory divided by this.
-UNWRITTEN_MEMORY_DIVISOR = 64
 
 
 class GatewayServer:
@@ -70,14 +66,7 @@
         )
         self.connections.is_ready = self._is_ready
         self.lifecycle = Lifecycle()
-        max_unwritten_bytes = max(4 * resp.MAX_VALUE_BYTES, config.memory_bytes // UNWRITTEN_MEMORY_DIVISOR)
-        self.clients = ClientAdmission(
-            self.connections,
-            budget,
-            self.lifecycle,
-            self.counters,
-            min(MAX_UNWRITTEN_BYTES, max_unwritten_bytes),
-        )
+        self.clients = ClientAdmission(self.connections, budget, self.lifecycle, self.counters)
         self.endpoint_watch = EndpointWatch(config, self.driver, self.upstreams, self.counters)
         self.reloader = ConfigReloader(config, self.counters, self._config_reloaded)
         self.controller = LifecycleController(self.lifecycle, self.connections, self.driver, self.counters)
