Keep the division of the memory between two processes when its limit is set again

set_limit_at_rest gave a process the whole limit beside another one if it ran after divide. It does not today: the timer that divides starts later; the order of the two is no promise. The test of the budget holds both orders.

--- a/mapleshunt/net/memory.py
+++ b/mapleshunt/net/memory.py
@@ -48,7 +48,14 @@
         peak_bytes: The most that was held since the start.
     """
 
-    __slots__ = ("_process_bytes", "held_bytes", "limit_bytes", "peak_bytes", "reserved_bytes")
+    __slots__ = (
+        "_processes",
+        "_undivided_bytes",
+        "held_bytes",
+        "limit_bytes",
+        "peak_bytes",
+        "reserved_bytes",
+    )
 
     def __init__(self, limit_bytes: int = UNLIMITED_BYTES) -> None:
         """Hold nothing yet."""
@@ -56,17 +63,19 @@
         self.held_bytes = 0
         self.reserved_bytes = 0
         self.peak_bytes = 0
-        self._process_bytes = limit_bytes  # for all processes of this gateway
+        self._undivided_bytes = limit_bytes  # for all processes of this gateway
+        self._processes = 1
 
     def set_limit_at_rest(self, memory_bytes: int, at_rest_bytes: int) -> None:
         """Set the limit from the memory of the process, and what it uses before it serves clients."""
         free_bytes = memory_bytes - at_rest_bytes
-        self._process_bytes = max(MIN_BUDGET_BYTES, int(free_bytes * BUDGET_FRACTION))
-        self.limit_bytes = self._process_bytes
+        self._undivided_bytes = max(MIN_BUDGET_BYTES, int(free_bytes * BUDGET_FRACTION))
+        self.divide(self._processes)
 
     def divide(self, processes: int) -> None:
         """Divide the limit between so many processes of this gateway."""
-        self.limit_bytes = self._process_bytes // processes
+        self._processes = processes
+        self.limit_bytes = self._undivided_bytes // processes
 
     def hold(self, size: int) -> None:
         """Count `size` bytes as held; a negative size releases them."""
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -189,3 +189,5 @@
     assert budget.limit_bytes == limit_bytes
     budget.divide(2)
     assert budget.limit_bytes == limit_bytes // 2
+    budget.set_limit_at_rest(memory_mb << 20, 20 << 20)
+    assert budget.limit_bytes == limit_bytes // 2
