--- a/mapleshunt/net/client/requests.py
+++ b/mapleshunt/net/client/requests.py
@@ -60,9 +60,10 @@
 def admit_request(
     registry: RequestRegistry, context: RequestContext, is_first: bool, has_memory: bool
 ) -> None:
-    """Admit a request if there is memory for it; late in a drain, only the first one of its connection.
+    """Admit a request, or reject it if there is no memory for it.
 
-    Otherwise a client that keeps sending would hold a draining connection open indefinitely.
+    Late in a drain only the first one of a connection is admitted: otherwise a client that keeps sending
+    would hold a draining connection open indefinitely.
     """
     retry_after_ms = 0.0
     if not has_memory:
