End no admin call or replica's connection unread in a burst: half of what is kept a turn

What callers saw: of more than 16 callers that connect to the admin endpoint within one turn of the loop the oldest were reset, with a complete call unread. The same at the address for replicas, 64 at a time.

Why it works: at half of what is kept, a connection that is ended was accepted two turns before, and its task has run since. The admin endpoint looks into the kernel for a call too, as clients' connections do.

--- a/mapleshunt/net/admin/connection.py
+++ b/mapleshunt/net/admin/connection.py
@@ -11,6 +11,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from .. import log
+from ..client.socket_state import has_unread_bytes
 from ..counters import Counters
 from ..protocol import http
 from ..protocol.read_buffer import MessageTooLongError, ReadBuffer
@@ -61,8 +62,8 @@
         self._closed = False
 
     def has_new_input(self) -> bool:
-        """Return whether the stream has read input, perhaps a call, that the task has not seen yet."""
-        return self._buffer.has_completed_read()
+        """Return whether input, perhaps a call, has arrived that the task has not seen yet."""
+        return self._buffer.has_completed_read() or has_unread_bytes(self._stream.socket)
 
     async def run(self) -> None:
         """Serve the call and close the connection. Cancelling it leaves the connection open."""
--- a/mapleshunt/net/admin/endpoint.py
+++ b/mapleshunt/net/admin/endpoint.py
@@ -39,7 +39,9 @@
         self._counters = counters
         self._connections: dict[AdminConnection, None] = {}  # the oldest first
         self._listener = bind_socket(address)
-        self._acceptor = Acceptor(self._listener, self._accept, counters, "door_")
+        self._acceptor = Acceptor(
+            self._listener, self._accept, counters, "door_", max_accepts_per_turn=MAX_CONNECTIONS // 2
+        )
 
     def open(self) -> None:
         """Listen and accept connections."""
--- a/mapleshunt/net/replication/connections.py
+++ b/mapleshunt/net/replication/connections.py
@@ -76,7 +76,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._flush_scheduled = False
         self._listener = bind_socket(addresses.listen)
-        self._acceptor = Acceptor(self._listener, self._accept, counters, "copies_")
+        self._acceptor = Acceptor(
+            self._listener, self._accept, counters, "copies_", max_accepts_per_turn=MAX_UNIDENTIFIED // 2
+        )
 
     def open(self) -> None:
         """Start to accept connections, and dial the peers with a later name."""
