Encode the commands of rig pipelines when they are sent: its own memory made it late

Cause: all commands of a run were encoded before the first was sent, 1.1 GB with 170 clients, 100 at once and 64,000 bytes; perf shows the process in clear_page under memmove, while the gateway used 0.02 s of processor time in 3 s. Waits of sound requests counted the wait for the lock too.

Change: a Command is encoded when it is sent; a wait begins when its bytes are in the kernel.

--- a/mapleshunt/testbed/pipelines/clients.py
+++ b/mapleshunt/testbed/pipelines/clients.py
@@ -7,6 +7,7 @@
 import enum
 import random
 from collections import Counter
+from dataclasses import dataclass
 
 from ...net.protocol import resp
 from ..ports import HOST
@@ -40,6 +41,31 @@
 LOST_KINDS = (AnswerKind.FOREIGN, AnswerKind.UNANSWERED, AnswerKind.ENDED)
 
 
+@dataclass(slots=True, frozen=True)
+class Command:
+    """A command that is encoded when it is sent: those of a run would fill the memory together."""
+
+    request_id: bytes
+    customer: bytes
+    deadline_ms: float
+    body_bytes: int
+
+    def encode(self) -> bytes:
+        """Return the command on the wire."""
+        verb, class_name = (b"SVC.SUBMIT", WRITE_CLASS) if self.body_bytes else (b"SVC.QUERY", READ_CLASS)
+        pairs = f"c={class_name},t={PLAN_NAME},units=1,spread=1,first=0,d={self.deadline_ms:.0f}".encode()
+        words = [verb, self.customer, self.request_id, pairs]
+        if self.body_bytes:
+            words.append(b"x" * self.body_bytes)
+        return resp.encode_command(words)
+
+
+def draw_command(rng: random.Random, deadline_ms: float, body_bytes: int) -> Command:
+    """Return a new request's command, of a customer that is drawn too."""
+    request_id = b"%016x" % rng.getrandbits(64)
+    return Command(request_id, b"%016x" % rng.randrange(CUSTOMERS), deadline_ms, body_bytes)
+
+
 class ClientLoad:
     """The clients of one run, and the answers to their commands by kind."""
 
@@ -61,30 +87,34 @@
     async def _send_pipelines(self, rng: random.Random) -> None:
         for _ in range(self._parameters.pipelines):
             commands = [
-                _command(rng, DEADLINE_MS, self._parameters.body_bytes)
+                draw_command(rng, DEADLINE_MS, self._parameters.body_bytes)
                 for _ in range(self._parameters.commands_at_once)
             ]
-            self.pipelined.update(await self._exchange(commands, DEADLINE_MS))
+            self.pipelined.update(await self._exchange(commands, DEADLINE_MS, []))
 
     async def send_sound_requests(self) -> None:
         """Send short requests evenly until cancelled; those that are open then are not judged."""
         rng = random.Random(f"{self._parameters.seed}/sound")
         async with asyncio.TaskGroup() as group:
             while True:
-                group.create_task(self._send_sound_request(_command(rng, SOUND_DEADLINE_MS, 0)))
+                group.create_task(self._send_sound_request(draw_command(rng, SOUND_DEADLINE_MS, 0)))
                 await asyncio.sleep(1 / self._parameters.sound_rate)
 
-    async def _send_sound_request(self, command: tuple[bytes, bytes]) -> None:
-        sent_at = asyncio.get_running_loop().time()
-        kinds = await self._exchange([command], SOUND_DEADLINE_MS)
+    async def _send_sound_request(self, command: Command) -> None:
+        sent_at: list[float] = []
+        kinds = await self._exchange([command], SOUND_DEADLINE_MS, sent_at)
         self.sound.update(kinds)
         if kinds == [AnswerKind.SERVED]:
-            self.sound_waits_s.append(asyncio.get_running_loop().time() - sent_at)
+            self.sound_waits_s.append(asyncio.get_running_loop().time() - sent_at[0])
+
+    async def _exchange(
+        self, commands: list[Command], deadline_ms: float, sent_at: list[float]
+    ) -> list[AnswerKind]:
+        """Send commands at once on a new connection; return their answers.
 
-    async def _exchange(self, commands: list[tuple[bytes, bytes]], deadline_ms: float) -> list[AnswerKind]:
-        """Send commands, each with its request's id, at once on a new connection; return their answers."""
+        When the last byte of each was in the kernel is added to `sent_at`, in s on the loop's clock.
+        """
         kinds: list[AnswerKind] = []
-        sent_at: list[float] = []
         try:
             async with self._connecting:
                 reader, writer = await asyncio.open_connection(HOST, self._port, limit=READER_LIMIT_BYTES)
@@ -94,9 +124,9 @@
             return [AnswerKind.NOT_TAKEN] * len(commands)
         sending = asyncio.get_running_loop().create_task(_send(writer, commands[1:], sent_at))
         try:
-            for request_id, _ in commands:
+            for command in commands:
                 reply = await _read_in_time(reader, sent_at, len(kinds), deadline_ms / 1000 + ANSWER_SLACK_S)
-                kinds.append(_kind_of(reply, request_id))
+                kinds.append(_kind_of(reply, command.request_id))
         except TimeoutError:
             kinds.append(AnswerKind.UNANSWERED)
             kinds += [AnswerKind.NOT_JUDGED] * (len(commands) - len(kinds))
@@ -112,28 +142,15 @@
         return kinds
 
 
-async def _send(
-    writer: asyncio.StreamWriter, commands: list[tuple[bytes, bytes]], sent_at: list[float]
-) -> None:
+async def _send(writer: asyncio.StreamWriter, commands: list[Command], sent_at: list[float]) -> None:
     """Send commands, and add to `sent_at` when the last byte of each was in the kernel."""
     with contextlib.suppress(ConnectionError):
-        for _, data in commands:
-            writer.write(data)
+        for command in commands:
+            writer.write(command.encode())
             await writer.drain()
             sent_at.append(asyncio.get_running_loop().time())
 
 
-def _command(rng: random.Random, deadline_ms: float, body_bytes: int) -> tuple[bytes, bytes]:
-    """Return a new request's id and its command."""
-    request_id = b"%016x" % rng.getrandbits(64)
-    verb, class_name = (b"SVC.SUBMIT", WRITE_CLASS) if body_bytes else (b"SVC.QUERY", READ_CLASS)
-    pairs = f"c={class_name},t={PLAN_NAME},units=1,spread=1,first=0,d={deadline_ms:.0f}".encode()
-    words = [verb, b"%016x" % rng.randrange(CUSTOMERS), request_id, pairs]
-    if body_bytes:
-        words.append(b"x" * body_bytes)
-    return request_id, resp.encode_command(words)
-
-
 async def _read_in_time(
     reader: asyncio.StreamReader, sent_at: list[float], number: int, timeout_s: float
 ) -> bytes:
