Evict at most eight resting clients a turn, however many connections come

Cause: each new connection at the limit evicts another, and between two of one turn nothing is read: the look for unread bytes sees only what came before.

Evidence: 48 resting clients, a burst of 40: 40 requests crossed, each sent in the turn after the first eviction.

Why it works: as many are accepted a turn as there is room for, up to 64, and 8 where each evicts another, as before: the loop reads in between.

--- a/mapleshunt/net/admin/endpoint.py
+++ b/mapleshunt/net/admin/endpoint.py
@@ -40,7 +40,11 @@
         self._connections: dict[AdminConnection, None] = {}  # the oldest first
         self._listener = bind_socket(address)
         self._acceptor = Acceptor(
-            self._listener, self._accept, counters, "door_", max_accepts_per_turn=MAX_CONNECTIONS // 2
+            self._listener,
+            self._accept,
+            counters,
+            "door_",
+            max_accepts_per_turn=lambda: MAX_CONNECTIONS // 2,
         )
 
     def open(self) -> None:
--- a/mapleshunt/net/client/listener.py
+++ b/mapleshunt/net/client/listener.py
@@ -59,7 +59,7 @@
         counters: Counters,
         counter_prefix: str = "",
         on_descriptors_exhausted: Callable[[], object] = lambda: None,
-        max_accepts_per_turn: int = MAX_ACCEPTS_PER_TURN,
+        max_accepts_per_turn: Callable[[], int] = lambda: MAX_ACCEPTS_PER_TURN,
     ) -> None:
         """Create a stopped acceptor.
 
@@ -69,8 +69,9 @@
             counters: the gateway's counters.
             counter_prefix: prefix of the names of counters and log events.
             on_descriptors_exhausted: called when this process has reached its descriptor limit.
-            max_accepts_per_turn: limit on the connections accepted in one turn of the loop. Where a new
-                connection ends the oldest one, at most half of what is kept: each is read before it may end.
+            max_accepts_per_turn: returns the limit on the connections accepted in this turn of the loop.
+                Where a new connection ends the oldest one, at most half of what is kept: each is read before
+                it may end.
         """
         self.listener, self.on_accept, self.counters = listener, on_accept, counters
         self.counter_prefix = counter_prefix
@@ -139,7 +140,7 @@
         return AcceptResult.NO_RESOURCES
 
     def _on_readable(self) -> None:
-        for _ in range(self.max_accepts_per_turn):
+        for _ in range(self.max_accepts_per_turn()):
             if not self.running or self.retry_timer is not None:
                 return
             result = self.accept()
--- a/mapleshunt/net/replication/connections.py
+++ b/mapleshunt/net/replication/connections.py
@@ -77,7 +77,11 @@
         self._flush_scheduled = False
         self._listener = bind_socket(addresses.listen)
         self._acceptor = Acceptor(
-            self._listener, self._accept, counters, "copies_", max_accepts_per_turn=MAX_UNIDENTIFIED // 2
+            self._listener,
+            self._accept,
+            counters,
+            "copies_",
+            max_accepts_per_turn=lambda: MAX_UNIDENTIFIED // 2,
         )
 
     def open(self) -> None:
--- a/mapleshunt/server/client_admission.py
+++ b/mapleshunt/server/client_admission.py
@@ -14,7 +14,7 @@
 from ..lifecycle.lifecycle import Lifecycle
 from ..net import log
 from ..net.client.connections import ClientConnections
-from ..net.client.listener import Acceptor
+from ..net.client.listener import MAX_ACCEPTS_PER_TURN, Acceptor
 from ..net.counters import Counters
 from ..net.protocol.read_buffer import CHUNK_BYTES
 from .descriptor_budget import DescriptorBudget
@@ -22,6 +22,9 @@
 BACKLOG = 512  # connections that the kernel queues until they are accepted
 MAX_LINGERING = 8  # connections that only wait for the client to close, beyond those that are served
 CROWDED_IDLE_TIMEOUT_S = 0.1  # idle time allowed between commands above the eviction threshold
+# At the limit each new connection evicts another, which may be about to send: between a few of them the loop
+# reads what has arrived.
+MAX_EVICTIONS_PER_TURN = 8
 
 
 class ClientAdmission:
@@ -51,6 +54,7 @@
             self._accept,
             self._counters,
             on_descriptors_exhausted=self.free_descriptors,
+            max_accepts_per_turn=self.max_accepts_per_turn,
         )
         self.listeners.append(listener)
         self.acceptors.append(acceptor)
@@ -74,9 +78,17 @@
         self.connections.close_lingering(0)
 
     def has_capacity(self) -> bool:
-        """Return whether one more connection may be accepted; `MAX_LINGERING` lingering ones do not count."""
+        """Return whether one more connection may be accepted."""
+        return self._capacity() > 0
+
+    def _capacity(self) -> int:
+        """Return how many more connections there is room for; `MAX_LINGERING` lingering ones do not count."""
         lingering = min(self.connections.lingering_count, MAX_LINGERING)
-        return len(self.connections.connections) - lingering < self.budget.max_clients
+        return self.budget.max_clients - (len(self.connections.connections) - lingering)
+
+    def max_accepts_per_turn(self) -> int:
+        """Return how many connections a turn accepts: those that have room, or a few that evict others."""
+        return max(MAX_EVICTIONS_PER_TURN, min(MAX_ACCEPTS_PER_TURN, self._capacity()))
 
     def reap_overdue(self) -> None:
         """Close overdue connections, and idle ones above the eviction threshold. Called periodically."""
--- a/tests/test_accept_bursts.py
+++ b/tests/test_accept_bursts.py
@@ -1,4 +1,4 @@
-"""Bursts of connections at the endpoints that end the oldest connection for a new one."""
+"""Bursts of connections where a new connection ends another one."""
 
 from __future__ import annotations
 
@@ -8,11 +8,16 @@
 
 import pytest
 
+from mapleshunt.net import config
 from mapleshunt.net.admin import endpoint as admin_endpoint
 from mapleshunt.net.admin.connection import AdminResponse
 from mapleshunt.net.counters import Counters
 from mapleshunt.net.replication import connections as replication
 from mapleshunt.replication import wire
+from mapleshunt.server.client_admission import MAX_EVICTIONS_PER_TURN
+from mapleshunt.server.gateway_server import GatewayServer
+
+from .processes import EXAMPLE_CONFIG, PING
 
 CALL = b"GET /_ready HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
 WAIT_TIMEOUT_S = 20.0
@@ -86,3 +91,40 @@
         return identified
 
     assert sorted(asyncio.run(run())) == sorted(peers)
+
+
+def test_burst_at_the_connection_limit_evicts_few_resting_clients_a_turn() -> None:
+    # A connection was evicted for each of 64 in one turn, before requests were read that came meanwhile.
+    resting_count, newcomers = 48, 40
+
+    async def run() -> list[bytes]:
+        server = GatewayServer(
+            config.parse(
+                EXAMPLE_CONFIG.read_text(),
+                {"PROXY_LISTEN": "127.0.0.1:0", "PROXY_DISCOVERY": "127.0.0.1:1"},
+            )
+        )
+        task = asyncio.create_task(server.run())
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while not server.clients.accepting:
+                await asyncio.sleep(0)
+            address = server.clients.listeners[0].getsockname()
+            resting = connect(address, resting_count, PING)
+            for client in resting:
+                await loop.sock_recv(client, 100)
+            server.clients.budget.max_clients = resting_count
+            burst = connect(address, newcomers, b"")
+            while not server.connections.lingering_count:
+                await asyncio.sleep(0)
+            for client in resting:
+                client.send(PING)
+            answers = await asyncio.gather(*(loop.sock_recv(client, 100) for client in resting))
+            server.stop_requested.set()
+            for client in resting + burst:
+                client.close()
+            await task
+        return answers
+
+    answers = asyncio.run(run())
+    assert sum(answer == b"" for answer in answers) <= MAX_EVICTIONS_PER_TURN
