Free closed client connections at once: each was kept until a full collection

Cause: the write buffer's callback was a lambda of the connection that owns the buffer: a cycle. Closed connections with their read buffers stayed until the interpreter's next full collection.

Why it works: the account does not refer to the connection, so that closing it frees it.

test_closed_client_connection_is_freed_without_the_garbage_collector failed before in all four cases (silent, partial, PING, request), and passes.

--- a/mapleshunt/net/client/connection.py
+++ b/mapleshunt/net/client/connection.py
@@ -82,7 +82,7 @@
         self.consumed_bytes = 0  # total that was parsed as commands
         self.arrivals: deque[tuple[int, float]] = deque()  # total bytes read so far, and when
         self.slots: deque[ResponseSlot] = deque()  # commands that await their response, in order
-        self.output = WriteBuffer(stream, lambda size: self.memory.hold(-size))
+        self.output = WriteBuffer(stream, self.memory.release)
         self.pause_reason: PauseReason | None = None
         self.closing = False  # no further command is processed
         self.answered_in_drain = False  # a response was written while the gateway was draining
--- a/mapleshunt/net/memory.py
+++ b/mapleshunt/net/memory.py
@@ -105,6 +105,10 @@
             self.held_bytes += size
             self._budget.hold(size)
 
+    def release(self, size: int) -> None:
+        """Count `size` bytes as not held any more."""
+        self.hold(-size)
+
     def reserve(self, size: int) -> None:
         """Reserve `size` bytes; a negative size ends a reservation."""
         if not self._is_closed:
