--- a/mapleshunt/cli/model.py
+++ b/mapleshunt/cli/model.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
-from contextlib import contextmanager
 from pathlib import Path
 from typing import Any
 
 import click
 
+from .model_check import check_model
+from .model_fit import fit_parameters
 from .output import CommandError, json_option, print_json, progress, service_rows, table
+from .pool import joblib_backend, pool_options
 
 
 @click.group()
@@ -16,6 +18,10 @@
     """Test settings or versions on a model of the fleet."""
 
 
+model.add_command(fit_parameters)
+model.add_command(check_model)
+
+
 def size_options(command: Any) -> Any:
     """Add the options that resize a scenario."""
     for name, option_type, text in (
@@ -28,30 +34,6 @@
     return command
 
 
-def pool_options(command: Any) -> Any:
-    """Add the options of parallel execution."""
-    command = click.option(
-        "--backend", default=None, help="joblib's backend (loky, multiprocessing, threading)."
-    )(command)
-    return click.option(
-        "--jobs", default=-1, show_default=True, help="Number of processes; -1: one per core."
-    )(command)
-
-
-@contextmanager
-def _joblib_backend(backend: str | None) -> Any:
-    from joblib import parallel_config
-
-    if backend is None:
-        yield
-        return
-    try:
-        with parallel_config(backend=backend):
-            yield
-    except ValueError as error:
-        raise CommandError(str(error)) from None
-
-
 def load_scenario(
     name: str, gateways: int | None, servers: int | None, rate: float | None, seconds: float | None
 ) -> Any:
@@ -206,7 +188,7 @@
 
     first, second = _parse_variant(a), _parse_variant(b)
     sized_scenario = load_scenario(scenario, gateways, servers, rate, seconds)
-    with progress(2 * seeds, scenario) as step, _joblib_backend(backend):
+    with progress(2 * seeds, scenario) as step, joblib_backend(backend):
         comparison = compare_variants(
             sized_scenario, first, second, range(first_seed, first_seed + seeds), jobs, step
         )
@@ -286,7 +268,7 @@
     total = seeds
     for setting_values in values.values():
         total *= len(setting_values)
-    with progress(total, scenario) as step, _joblib_backend(backend):
+    with progress(total, scenario) as step, joblib_backend(backend):
         points = sweep_settings(sized_scenario, values, range(1, seeds + 1), jobs, step)
     if (
         points
@@ -315,229 +297,3 @@
         if figure in p.figures
     ]
     table([*values, figure, "low", "high", "failed"], rows)
-
-
-@model.command("fit")
-@click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False, path_type=Path))
-@click.option(
-    "--settings",
-    "configuration",
-    required=True,
-    type=click.Path(dir_okay=False, path_type=Path),
-    help="Configuration of a gateway, for its plans.",
-)
-@click.option(
-    "--out",
-    required=True,
-    type=click.Path(dir_okay=False, path_type=Path),
-    help="File that the fit is written to.",
-)
-@click.option("--servers", type=click.IntRange(1), help="Number of backends; by default those with attempts.")
-@click.option("--know", multiple=True, help="Known parameter as FIGURE=VALUE, for example cores=3.")
-@click.option("--worth", multiple=True, help="Value of a request class as CLASS=WORTH; by default 1.")
-@click.option("--draws", default=160, show_default=True, type=click.IntRange(8))
-@click.option("--keep", default=24, show_default=True, type=click.IntRange(2))
-@click.option("--seed", default=1, show_default=True, type=click.IntRange(0))
-@pool_options
-@json_option
-def fit_parameters(
-    files: tuple[Path, ...],
-    configuration: Path,
-    out: Path,
-    servers: int | None,
-    know: tuple[str, ...],
-    worth: tuple[str, ...],
-    draws: int,
-    keep: int,
-    seed: int,
-    jobs: int,
-    backend: str | None,
-    as_json: bool,
-) -> None:
-    """Fit the parameters of a fleet to the recordings of its gateways."""
-    import json
-
-    from ..fleet.parameters import check_overrides
-    from ..simulation import recorded_traffic
-    from ..simulation.fit import Search, fit_fleet
-    from ..simulation.fitted_fleet import FittedPlan, encode_fit
-    from ..simulation.variants import parse_pair
-
-    try:
-        document = json.loads(configuration.read_text())
-        packages = document.get("settings", document)["Packages"]
-        plans = [
-            FittedPlan(
-                package["Name"],
-                0.0,
-                package["QuotaRate"],
-                package["Burst"],
-                package.get("ValueFactor", 1.0),
-                package.get("ExcessCost", 1.0),
-                1.0,
-            )
-            for package in packages
-        ]
-        known = {
-            key: float(value) for key, value in (parse_pair(f"world.{known_figure}") for known_figure in know)
-        }
-        known = {key[6:]: value for key, value in known.items()}
-        check_overrides(known)
-        worths = {
-            name: float(value) for name, _, value in (class_worth.partition("=") for class_worth in worth)
-        }
-        traffic = recorded_traffic.read_recordings(list(files))
-        for problem in traffic.problems:
-            click.echo(f"not read: {problem}", err=True)
-        with progress(draws, "fit") as step, _joblib_backend(backend):
-            search = Search(draws, min(keep, draws), seed, jobs)
-            fit = fit_fleet(traffic, plans, worths, servers, known, search, step)
-        out.write_bytes(encode_fit(fit))
-    except (OSError, ValueError, KeyError, TypeError) as error:
-        raise CommandError(
-            f"{type(error).__name__}: {error}" if isinstance(error, KeyError) else str(error)
-        ) from None
-    compared = {
-        figure: {"recorded": value, "mean": fit.played[figure][0], "sd": fit.played[figure][1]}
-        for figure, value in fit.recorded.items()
-    }
-    if as_json:
-        print_json(
-            {
-                "file": str(out),
-                "requests": fit.requests,
-                "customers": len(fit.customers),
-                "coverage": fit.coverage,
-                "compared": compared,
-                "trouble": fit.problems,
-            }
-        )
-        return
-    click.echo(
-        f"{fit.requests} requests of {len(fit.customers)} customers, {fit.length_ms / 1000:.0f} s, "
-        f"{fit.coverage:.0%} of the gateways"
-    )
-    table(
-        ["class", "fraction", "work, ms of a core", "standard error", "coefficient of variation"],
-        [
-            [fitted.name, fitted.share, fitted.work, fitted.work * fitted.error, fitted.cv]
-            for fitted in fit.classes
-        ],
-    )
-    table(
-        ["figure (times in log ms)", "recorded", "mean of kept draws", "their sd"],
-        [[figure, row["recorded"], row["mean"], row["sd"]] for figure, row in compared.items()],
-    )
-
-
-@model.command("check")
-@click.option("--days", default=10, show_default=True, type=click.IntRange(1))
-@click.option(
-    "--seed", default=1, show_default=True, type=click.IntRange(0), help="Seed of the installation."
-)
-@click.option("--seconds", default=40.0, show_default=True, type=click.FloatRange(3))
-@click.option("--gateways", default=3, show_default=True, type=click.IntRange(1))
-@click.option("--servers", default=16, show_default=True, type=click.IntRange(1))
-@click.option("--draws", default=96, show_default=True, type=click.IntRange(8))
-@click.option(
-    "--foretold",
-    default=39,
-    show_default=True,
-    type=click.IntRange(19),
-    help="Simulated runs per run of the testbed.",
-)
-@click.option(
-    "--at-once",
-    default=4,
-    show_default=True,
-    type=click.IntRange(1),
-    help="Testbeds that run at the same time.",
-)
-@pool_options
-@json_option
-def check_model(
-    days: int,
-    seed: int,
-    seconds: float,
-    gateways: int,
-    servers: int,
-    draws: int,
-    foretold: int,
-    at_once: int,
-    jobs: int,
-    backend: str | None,
-    as_json: bool,
-) -> None:
-    """Validate the model against real gateways on loopback; takes minutes of real time."""
-    import tempfile
-
-    from ..simulation.validation import MAX_SERVICE_INTERVAL, PREDICTION_LEVEL, validate_model
-    from ..testbed.recording import run_and_record
-
-    with tempfile.TemporaryDirectory() as folder, _joblib_backend(backend):
-        validation = validate_model(
-            run_and_record,
-            Path(folder),
-            days,
-            seed,
-            seconds,
-            gateways,
-            servers,
-            draws,
-            max(2, draws // 6),
-            foretold,
-            at_once,
-            jobs,
-            lambda message: click.echo(message, err=True),
-        )
-    within = {figure: validation.days_within(figure) for figure in validation.figures()}
-    count = len(validation.days())
-    if as_json:
-        print_json(
-            {
-                "days": count,
-                "within": within,
-                "widest_service": validation.widest_interval(),
-                "good": validation.passed(),
-                "errors": validation.errors,
-                "lines": [
-                    {
-                        "kind": line.kind,
-                        "seed": line.seed,
-                        "figure": line.figure,
-                        "low": line.low,
-                        "mean": line.mean,
-                        "high": line.high,
-                        "real": line.real,
-                        "inside": line.inside,
-                    }
-                    for line in validation.lines
-                ],
-            }
-        )
-    else:
-        table(
-            ["scenario", "seed", "figure", "low", "predicted", "high", "real", "inside"],
-            [
-                [
-                    line.kind,
-                    line.seed,
-                    line.figure,
-                    line.low,
-                    line.mean,
-                    line.high,
-                    line.real,
-                    "yes" if line.inside else "NO",
-                ]
-                for line in validation.lines
-            ],
-        )
-        for figure, inside in within.items():
-            click.echo(f"{figure}: inside its {PREDICTION_LEVEL:.0%} interval in {inside} of {count} runs")
-        click.echo(
-            f"widest interval of service: {validation.widest_interval():.3f} (limit {MAX_SERVICE_INTERVAL})"
-        )
-        for error in validation.errors:
-            click.echo(f"run failed: {error}")
-    if not validation.passed() or validation.errors:
-        raise SystemExit(1)
