--- a/mapleshunt/cli/model_check.py
+++ b/mapleshunt/cli/model_check.py
@@ -23,20 +23,10 @@
 @click.option("--gateways", default=3, show_default=True, type=click.IntRange(1))
 @click.option("--servers", default=16, show_default=True, type=click.IntRange(1))
 @click.option("--draws", default=96, show_default=True, type=click.IntRange(8))
-@click.option(
-    "--foretold",
-    default=39,
-    show_default=True,
-    type=click.IntRange(19),
-    help="Simulated runs per run of the testbed.",
-)
-@click.option(
-    "--at-once",
-    default=4,
-    show_default=True,
-    type=click.IntRange(1),
-    help="Testbeds that run at the same time.",
-)
+@click.option("--foretold", default=39, show_default=True, type=click.IntRange(19),
+              help="Simulated runs per run of the testbed.")  # fmt: skip
+@click.option("--at-once", default=4, show_default=True, type=click.IntRange(1),
+              help="Testbeds that run at the same time.")  # fmt: skip
 @pool_options
 @json_option
 def check_model(
--- a/tests/test_accept_bursts.py
+++ b/tests/test_accept_bursts.py
@@ -8,16 +8,15 @@
 
 import pytest
 
-from mapleshunt.net import config
 from mapleshunt.net.admin import endpoint as admin_endpoint
 from mapleshunt.net.admin.connection import AdminResponse
 from mapleshunt.net.counters import Counters
 from mapleshunt.net.replication import connections as replication
 from mapleshunt.replication import wire
 from mapleshunt.server.client_admission import MAX_EVICTIONS_PER_TURN
-from mapleshunt.server.gateway_server import GatewayServer
 
-from .processes import EXAMPLE_CONFIG, PING
+from .in_process import gateway_server, wait_until
+from .processes import PING
 
 CALL = b"GET /_ready HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
 WAIT_TIMEOUT_S = 20.0
@@ -98,25 +97,18 @@
     resting_count, newcomers = 48, 40
 
     async def run() -> list[bytes]:
-        server = GatewayServer(
-            config.parse(
-                EXAMPLE_CONFIG.read_text(),
-                {"PROXY_LISTEN": "127.0.0.1:0", "PROXY_DISCOVERY": "127.0.0.1:1"},
-            )
-        )
+        server = gateway_server()
         task = asyncio.create_task(server.run())
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(WAIT_TIMEOUT_S):
-            while not server.clients.accepting:
-                await asyncio.sleep(0)
+            await wait_until(lambda: server.clients.accepting)
             address = server.clients.listeners[0].getsockname()
             resting = connect(address, resting_count, PING)
             for client in resting:
                 await loop.sock_recv(client, 100)
             server.clients.budget.max_clients = resting_count
             burst = connect(address, newcomers, b"")
-            while not server.connections.lingering_count:
-                await asyncio.sleep(0)
+            await wait_until(lambda: server.connections.lingering_count)
             for client in resting:
                 client.send(PING)
             answers = await asyncio.gather(*(loop.sock_recv(client, 100) for client in resting))
--- a/tests/test_client_listener.py
+++ b/tests/test_client_listener.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import errno
-import json
 import os
 import resource
 import socket
@@ -15,13 +14,12 @@
 import pytest
 
 from mapleshunt.lifecycle.lifecycle import DrainStage
-from mapleshunt.net import config
 from mapleshunt.net.client import listener as listener_module
 from mapleshunt.net.counters import Counters
 from mapleshunt.net.request.context import RequestContext
-from mapleshunt.server.gateway_server import GatewayServer
 
-from .processes import EXAMPLE_CONFIG, PING, query
+from .in_process import gateway_server, wait_until
+from .processes import PING, query
 
 
 class FailingListener:
@@ -40,30 +38,26 @@
         return getattr(self.listener, name)
 
 
-async def wait_until(condition: object) -> None:
-    async with asyncio.timeout(30):
-        while not condition():  # type: ignore[operator]
-            await asyncio.sleep(0)
-
-
 def test_connections_of_a_second_are_accepted_within_the_turns_of_a_second_under_load() -> None:
     # Eight were accepted a turn: while turns took 0.2 s, sound requests waited unread past their deadline.
     connections_per_s, turns_per_s = 210, 5  # 140 and half as many again; a turn of 0.2 s
 
     async def run() -> int:
-        accepted = list[socket.socket]()
-        with socket.create_server(("127.0.0.1", 0), backlog=connections_per_s) as listener:
-            listener.setblocking(False)
-            clients = [socket.create_connection(listener.getsockname()) for _ in range(connections_per_s)]
-            acceptor = listener_module.Acceptor(listener, accepted.append, Counters())
-            acceptor.start()
-            turns = 0
-            while len(accepted) < connections_per_s:
-                await asyncio.sleep(0)
-                turns += 1
-            acceptor.stop()
-            for connection in clients + accepted:
-                connection.close()
+        server = gateway_server(sockets=1024)
+        task = asyncio.create_task(server.run())
+        await wait_until(lambda: server.clients.accepting)
+        server.clients.stop_accepting()
+        address = server.clients.listeners[0].getsockname()
+        clients = [socket.create_connection(address) for _ in range(connections_per_s)]
+        server.clients.start_accepting()
+        turns = 0
+        while len(server.connections.connections) < connections_per_s:
+            await asyncio.sleep(0)
+            turns += 1
+        for client in clients:
+            client.close()
+        server.stop_requested.set()
+        await task
         return turns
 
     assert asyncio.run(run()) <= turns_per_s
@@ -170,12 +164,6 @@
     assert 0.05 < delays[11] < 0.2, delays
 
 
-def gateway_server(**limits: int) -> GatewayServer:
-    configuration = {**json.loads(EXAMPLE_CONFIG.read_text()), "limits": limits}
-    env = {"PROXY_LISTEN": "127.0.0.1:0", "PROXY_DISCOVERY": "127.0.0.1:1"}
-    return GatewayServer(config.parse(json.dumps(configuration), env))
-
-
 def test_time_in_backlog_is_taken_off_timeout(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_connection_lifetime.py
+++ b/tests/test_connection_lifetime.py
@@ -9,11 +9,10 @@
 
 import pytest
 
-from mapleshunt.net import config
 from mapleshunt.net.client.connection import ClientConnection
-from mapleshunt.server.gateway_server import GatewayServer
 
-from .processes import EXAMPLE_CONFIG, PING, query
+from .in_process import gateway_server, wait_until
+from .processes import PING, query
 
 WAIT_TIMEOUT_S = 20.0
 SENT = {"silent": b"", "partial": PING[:5], "ping": PING, "request": query(1)}
@@ -21,30 +20,22 @@
 
 @pytest.mark.parametrize("sent", SENT.values(), ids=SENT)
 def test_closed_client_connection_is_freed_without_the_garbage_collector(sent: bytes) -> None:
-    # Its write buffer referred to it: crowds of connections held 5 KB each until a rare full collection.
+    # Its write buffer referred back to it: crowds of closed connections stayed in memory.
     async def run() -> list[weakref.ref[ClientConnection]]:
-        server = GatewayServer(
-            config.parse(
-                EXAMPLE_CONFIG.read_text(),
-                {"PROXY_LISTEN": "127.0.0.1:0", "PROXY_DISCOVERY": "127.0.0.1:1"},
-            )
-        )
+        server = gateway_server()
         task = asyncio.create_task(server.run())
         connections = server.connections.connections
         async with asyncio.timeout(WAIT_TIMEOUT_S):
-            while not server.clients.accepting:
-                await asyncio.sleep(0)
+            await wait_until(lambda: server.clients.accepting)
             gc.disable()
             with socket.create_connection(server.clients.listeners[0].getsockname()) as client:
                 client.setblocking(False)
                 client.send(sent)
-                while not connections:
-                    await asyncio.sleep(0)
+                await wait_until(lambda: connections)
                 references = [weakref.ref(connection) for connection in connections]
                 if sent in (SENT["ping"], SENT["request"]):
                     await asyncio.get_running_loop().sock_recv(client, 1000)
-            while connections:
-                await asyncio.sleep(0)
+            await wait_until(lambda: not connections)
             for _ in range(10):  # the connection's task ends
                 await asyncio.sleep(0)
             alive = [reference for reference in references if reference() is not None]
