--- a/mapleshunt/cli/rig.py
+++ b/mapleshunt/cli/rig.py
@@ -9,6 +9,7 @@
 
 from .model import load_scenario, size_options
 from .output import CommandError, json_option, print_json, service_rows, table
+from .rig_crowds import crowds
 from .rig_pipelines import pipelines
 
 if TYPE_CHECKING:
@@ -33,6 +34,7 @@
 
 
 rig.add_command(pipelines)
+rig.add_command(crowds)
 
 
 def _run_on_loopback(scenario: Any, seed: int, logs: Path | None, program: Path | None) -> Any:
--- a/mapleshunt/testbed/pipelines/clients.py
+++ b/mapleshunt/testbed/pipelines/clients.py
@@ -125,8 +125,8 @@
         sending = asyncio.get_running_loop().create_task(_send(writer, commands[1:], sent_at))
         try:
             for command in commands:
-                reply = await _read_in_time(reader, sent_at, len(kinds), deadline_ms / 1000 + ANSWER_SLACK_S)
-                kinds.append(_kind_of(reply, command.request_id))
+                reply = await read_in_time(reader, sent_at, len(kinds), deadline_ms / 1000 + ANSWER_SLACK_S)
+                kinds.append(kind_of(reply, command.request_id))
         except TimeoutError:
             kinds.append(AnswerKind.UNANSWERED)
             kinds += [AnswerKind.NOT_JUDGED] * (len(commands) - len(kinds))
@@ -151,7 +151,7 @@
             sent_at.append(asyncio.get_running_loop().time())
 
 
-async def _read_in_time(
+async def read_in_time(
     reader: asyncio.StreamReader, sent_at: list[float], number: int, timeout_s: float
 ) -> bytes:
     """Read the reply to the command of that number.
@@ -179,7 +179,8 @@
     return line[:1] + await reader.readexactly(int(line[1:]) + len(resp.CRLF))
 
 
-def _kind_of(reply: bytes, request_id: bytes) -> AnswerKind:
+def kind_of(reply: bytes, request_id: bytes) -> AnswerKind:
+    """Return what a reply to the request of that id is."""
     if reply[:1] == b"$":
         return AnswerKind.SERVED if reply[1:].startswith(request_id) else AnswerKind.FOREIGN
     return AnswerKind.REJECTED if reply.startswith(b"-BUSY") else AnswerKind.FAILED
--- a/mapleshunt/testbed/pipelines/run.py
+++ b/mapleshunt/testbed/pipelines/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import statistics
 import tempfile
 from collections import Counter
@@ -18,13 +17,13 @@
 from ..errors import GatewayError
 from ..fleet import CHECKOUT_ROOT
 from ..gateway_process import GatewayProcess
+from ..memory_watch import MemoryWatch
 from ..ports import HOST
 from .backends import LongValueBackend
 from .clients import LOST_KINDS, ClientLoad
 from .parameters import PipelineParameters, gateway_settings
 
 BACKENDS = 14
-SAMPLE_INTERVAL_S = 0.01  # between two readings of the gateway's memory
 LEAD_S = 1.0  # for which sound requests are sent before the pipelines, and after them
 SETTLE_S = 1.0  # after the last request, until memory that is still held counts as kept
 
@@ -57,41 +56,18 @@
         return broken
 
 
-class MemoryWatch:
-    """Reads a process's memory, and kills it over the limit."""
-
-    def __init__(self, process_id: int, limit_mb: float) -> None:
-        """Watch the process with that id; `run` reads its memory."""
-        self._status = Path(f"/proc/{process_id}/status")
-        self._limit_mb = limit_mb
-        self.peak_mb = 0.0
-        self.exceeded = asyncio.Event()
-
-    def read_mb(self) -> float:
-        """Return the process's anonymous resident memory; 0 once it has ended."""
-        with contextlib.suppress(OSError):
-            for line in self._status.read_text().splitlines():
-                if line.startswith("RssAnon"):
-                    return int(line.split()[1]) / 1024
-        return 0.0
-
-    async def run(self) -> None:
-        """Read the memory until it exceeds the limit, or until cancelled."""
-        while True:
-            self.peak_mb = max(self.peak_mb, self.read_mb())
-            if self.peak_mb > self._limit_mb:
-                self.exceeded.set()
-                return
-            await asyncio.sleep(SAMPLE_INTERVAL_S)
-
-
 async def _play(parameters: PipelineParameters, folder: Path, program: Path) -> PipelineReport:
     backends = [LongValueBackend(number, parameters) for number in range(BACKENDS)]
     for backend in backends:
         await backend.start()
     entries = {number: EndpointEntry(number, cell=number // 4) for number in range(BACKENDS)}
     agent = DiscoveryAgent(entries, "", RunClock(), lambda number: backends[number].port, lambda _entry: None)
-    gateway = GatewayProcess(0, folder, program, _gateway_config(parameters, agent.port))
+    gateway = GatewayProcess(
+        0,
+        folder,
+        program,
+        gateway_config(parameters.memory_mb, parameters.descriptors, parameters.seed, agent.port),
+    )
     try:
         gateway.spawn(agent.whole_list())
         await gateway.wait_until_ready()
@@ -103,12 +79,13 @@
             backend.stop()
 
 
-def _gateway_config(parameters: PipelineParameters, discovery_port: int) -> dict[str, Any]:
-    limits = {"cores": 1.0, "memory_mb": parameters.memory_mb, "sockets": parameters.descriptors}
+def gateway_config(memory_mb: int, descriptors: int, seed: int, discovery_port: int) -> dict[str, Any]:
+    """Return the configuration file of a gateway, without its own addresses."""
+    limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": descriptors}
     return {
         "name": "n0",
         "discovery": f"{HOST}:{discovery_port}",
-        "seed": parameters.seed,
+        "seed": seed,
         "limits": limits,
         "settings": init_from_settings(gateway_settings(), DialTimeout=250, ConnIdle=30000, MaxOpen=20000),
     }
@@ -117,7 +94,8 @@
 async def _load(parameters: PipelineParameters, gateway: GatewayProcess) -> PipelineReport:
     if gateway.process is None:
         raise GatewayError("the gateway is not running")
-    watch = MemoryWatch(gateway.process.pid, parameters.memory_mb)
+    process_id = gateway.process.pid
+    watch = MemoryWatch(lambda: [process_id], parameters.memory_mb)
     load = ClientLoad(gateway.port, parameters)
     at_rest_mb = watch.read_mb()
     loop = asyncio.get_running_loop()
