--- a/mapleshunt/testbed/crowds/crowd.py
+++ b/mapleshunt/testbed/crowds/crowd.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import itertools
 import random
 import resource
 import sys
@@ -28,10 +27,11 @@
 PIECE_BYTES = 2200
 PIECE_INTERVAL_S = 0.05
 FIELD = b"a%d=1"
-FIELDS = 8500
+FIELDS = 8000  # some 65,000 bytes
 DEADLINE_MS = 4500.0
 UNREAD_COMMANDS = 40
-FLOOD_BATCH = 64  # commands that are written together
+FLOOD_DEADLINE_MS = 500.0
+FLOOD_BATCH = 16  # commands that are written together
 RECONNECT_PAUSE_S = 0.005  # after a connection that was refused or reset at once
 CONNECT_SPREAD_S = 0.2  # over which the clients of a crowd come first
 
@@ -43,11 +43,19 @@
     return draw_command(rng, DEADLINE_MS, body_bytes).encode()
 
 
+def _sound_pairs(deadline_ms: float) -> bytes:
+    return f"c={READ_CLASS},t={PLAN_NAME},units=1,spread=1,first=0,d={deadline_ms:.0f}".encode()
+
+
+def _query(rng: random.Random, pairs: bytes) -> bytes:
+    """Return a query with those pairs, of a new customer."""
+    customer, request_id = b"%016x" % rng.getrandbits(32), b"%016x" % rng.getrandbits(64)
+    return resp.encode_command([b"SVC.QUERY", customer, request_id, pairs])
+
+
 def _command_of_many_fields(rng: random.Random) -> bytes:
-    fields = b",".join([FIELD % number for number in range(FIELDS)])
-    return resp.encode_command(
-        [b"SVC.QUERY", b"%016x" % rng.getrandbits(32), b"%016x" % rng.getrandbits(64), fields]
-    )
+    fields = [FIELD % number for number in range(FIELDS)]
+    return _query(rng, b",".join([_sound_pairs(DEADLINE_MS), *fields]))
 
 
 async def _read_until_end(reader: asyncio.StreamReader) -> None:
@@ -140,15 +148,10 @@
 async def _flood_unsound(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, rng: random.Random
 ) -> None:
-    kinds = (b"*1\r\n$4\r\nNOPE\r\n", b"*2\r\n$9\r\nSVC.QUERY\r\n$1\r\n0\r\n", _command_without_class(rng))
+    kinds = (b"*1\r\n$4\r\nNOPE\r\n", b"*2\r\n$9\r\nSVC.QUERY\r\n$1\r\n0\r\n", _query(rng, b"t=none,d=100"))
     await _flood(reader, writer, _batches(lambda: rng.choice(kinds)))
 
 
-def _command_without_class(rng: random.Random) -> bytes:
-    customer, request_id = b"%016x" % rng.getrandbits(32), b"%016x" % rng.getrandbits(64)
-    return resp.encode_command([b"SVC.QUERY", customer, request_id, b"t=none,d=100"])
-
-
 async def _flood_pings(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, _rng: random.Random
 ) -> None:
@@ -158,10 +161,7 @@
 async def _flood_new_names(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, rng: random.Random
 ) -> None:
-    pairs = f"c={READ_CLASS},t={PLAN_NAME},units=1,spread=1,first=0,d=500".encode()
-    for _ in itertools.count():
-        words = [b"SVC.QUERY", b"%016x" % rng.getrandbits(32), b"%016x" % rng.getrandbits(64), pairs]
-        await _exchange(reader, writer, resp.encode_command(words))
+    await _flood(reader, writer, _batches(lambda: _query(rng, _sound_pairs(FLOOD_DEADLINE_MS))))
 
 
 BEHAVIOURS: dict[CrowdKind, Behaviour] = {
--- a/mapleshunt/testbed/crowds/run.py
+++ b/mapleshunt/testbed/crowds/run.py
@@ -26,7 +26,7 @@
 BACKENDS = 14
 VALUE_BYTES = 100
 WORK_MS = 20.0  # mean, at a backend
-LEAD_S = 2.0  # for which sound requests are sent before the crowd comes, and after it has gone
+LEAD_S = 3.0  # for which sound requests are sent before the crowd comes, and after it has gone
 SETTLE_S = 1.0  # after the crowd has gone; later requests count as without it
 RESTART_PAUSE_S = 1.0  # from a kill to the next start
 KILL_AFTER_S = 3.7  # from SIGTERM: the longest deadline, counted as 3 s, and 0.7 s
