--- a/mapleshunt/net/client/connections.py
+++ b/mapleshunt/net/client/connections.py
@@ -78,6 +78,14 @@
             if slot.data is None
         )
 
+    def read_buffer_bytes(self) -> int:
+        """Return what the buffers hold that commands are read into, in bytes."""
+        return sum(len(connection.buffer.data) for connection in self.connections)
+
+    def partial_commands(self) -> int:
+        """Return how many connections have read a part of a command and none of it is processed."""
+        return sum(connection.buffer.start != connection.buffer.end for connection in self.connections)
+
     def response_bytes(self) -> int:
         """Return what responses hold that wait for their turn or for their client to read, in bytes."""
         return sum(
--- a/mapleshunt/net/memory.py
+++ b/mapleshunt/net/memory.py
@@ -26,7 +26,7 @@
 BUDGET_FRACTION = 1 / 2
 MIN_BUDGET_BYTES = 16 * MAX_RESPONSE_BYTES  # also where the process uses its limit up at rest
 STATM_PATH = Path("/proc/self/statm")
-RESIDENT_FIELD = 1  # of statm, in pages
+RESIDENT_FIELD, SHARED_FIELD = 1, 2  # of statm, in pages
 ASSUMED_RESIDENT_BYTES = 32 << 20  # where the kernel does not tell
 
 
@@ -38,6 +38,15 @@
         return ASSUMED_RESIDENT_BYTES
 
 
+def private_bytes() -> int:
+    """Return the memory that this process uses now, without the files that it maps."""
+    try:
+        fields = STATM_PATH.read_text().split()
+        return (int(fields[RESIDENT_FIELD]) - int(fields[SHARED_FIELD])) * os.sysconf("SC_PAGE_SIZE")
+    except (OSError, ValueError, IndexError):
+        return ASSUMED_RESIDENT_BYTES
+
+
 class MemoryBudget:
     """What may be held, and what is.
 
--- a/mapleshunt/server/gateway_server.py
+++ b/mapleshunt/server/gateway_server.py
@@ -76,7 +76,7 @@
         self.controller = LifecycleController(self.lifecycle, self.connections, self.driver, self.counters)
         self.gossip = GossipPort(self.driver, self.counters, shared=config.accept_fd is not None)
         self._monitoring = Monitoring(
-            self.counters, self.connections, self.upstreams, self.driver, self.memory
+            self.counters, self.connections, self.upstreams, self.driver, self.memory, config.memory_bytes
         )
         self.admin: AdminEndpoint | None = None
         self.takeover: Takeover | None = None
@@ -107,6 +107,7 @@
                 self.counters.add,
                 self._monitoring.report_loop_delay,
             ),
+            PeriodicTask(self._monitoring.report_high_memory, CLIENT_SWEEP_INTERVAL_S, self.counters.add),
             PeriodicTask(self._monitoring.log_counters, COUNTERS_LOG_INTERVAL_S, self.counters.add),
         ]
         for sweep in sweeps:
