Refuse commands of too many fields by their length: 170 of them took 96 MB

Cause: the word of names and values could hold 64 KiB; it was split into thousands of strings (7.0 MB counted, 92.7 MB used), parsed again for each copy and forwarded. Fix: all words but the body hold 3,072 bytes together, refused by the declared length before the bytes are read; a word of more than 32 pairs (the protocol has 8 names) is refused before it is split.

--- a/mapleshunt/net/protocol/command_protocol.py
+++ b/mapleshunt/net/protocol/command_protocol.py
@@ -11,6 +11,7 @@
 
 QUERY, SUBMIT = b"SVC.QUERY", b"SVC.SUBMIT"
 PAIRS_INDEX = 3  # position of the word with the name=value pairs
+MAX_PAIRS = 32  # four times the names that the protocol has
 HEX_ID_PATTERN = re.compile(r"[0-9a-f]{16}")
 MAX_CUSTOMERS = 1 << 33  # endpoints reject a customer number of this value or above
 DURATION_PATTERN = re.compile(r"[0-9]{1,7}(\.[0-9]{1,6})?")
@@ -50,6 +51,8 @@
         text = str(word, "utf-8")  # the settings are JSON, so names of classes and plans may be non-ASCII
     except UnicodeDecodeError:
         raise InvalidCommandError("names and values must be UTF-8") from None
+    if text.count(",") >= MAX_PAIRS:
+        raise InvalidCommandError(f"a command has at most {MAX_PAIRS} names and values")
     pairs: dict[str, str] = {}
     for item in text.split(","):
         name, equals, value = item.partition("=")
--- a/mapleshunt/net/protocol/resp.py
+++ b/mapleshunt/net/protocol/resp.py
@@ -11,6 +11,9 @@
 
 MAX_VALUE_BYTES = 65536  # per bulk string
 MAX_ITEMS = 16  # per array
+# Of a command, the word at this index may be a value of any length: its body.
+BODY_INDEX = 4
+MAX_HEAD_BYTES = 3072  # of a command's other words together, framing included
 MAX_LINE_BYTES = 1024
 MAX_MESSAGE_BYTES = MAX_VALUE_BYTES + 8192  # buffer that one message needs
 MAX_DIGITS = 18  # of an integer, sign included; always fits in 64 bits
@@ -69,8 +72,8 @@
     return memoryview(data)[start : start + size], start + size + 2
 
 
-def _parse_word(data: bytearray, start: int, end: int) -> tuple[memoryview, int] | None:
-    """Parse one word of a command."""
+def _parse_word(data: bytearray, start: int, end: int, max_bytes: int) -> tuple[memoryview, int] | None:
+    """Parse one word of a command, of at most `max_bytes`: a longer one is refused by its length."""
     if start >= end:
         return None
     if data[start] != BULK_TYPE:
@@ -81,6 +84,8 @@
     size = _parse_integer(data, start + 1, line_end)
     if size < 0:
         raise ProtocolError("a word has a length of 0 or more")
+    if size > max_bytes:
+        raise ProtocolError(f"a word is longer than {max_bytes} bytes")
     return _parse_bulk_body(data, line_end + 2, end, size)
 
 
@@ -104,12 +109,15 @@
     if not 1 <= count <= MAX_ITEMS:
         raise ProtocolError(f"a command has 1 to {MAX_ITEMS} words")
     words: list[memoryview] = []
-    position = line_end + 2
-    for _ in range(count):
-        parsed = _parse_word(data, position, end)
+    position, head_bytes = line_end + 2, 0
+    for index in range(count):
+        max_bytes = MAX_VALUE_BYTES if index == BODY_INDEX else MAX_HEAD_BYTES - head_bytes
+        parsed = _parse_word(data, position, end, max_bytes)
         if parsed is None:
             return None
         words.append(parsed[0])
+        if index != BODY_INDEX:
+            head_bytes += parsed[1] - position
         position = parsed[1]
     return words, position
 
