Read on past the first buffer only with memory for the whole command, and end the slowest

Cause: the budget counted read buffers (72 KiB a connection) and nothing asked it before one grew: 171 partial commands held 7.4 MB of a limit of 2.4 MB (memory_high). What was refused for it was the short sound request. As many connections were taken as descriptors allow, whatever the memory. Fix: RESP tells each length ahead of the bytes, so a connection reads on past 2 KiB only with a grant for the whole command, in the order of the requests; while others wait, one whose bytes do not come for 0.1 s gives way; without memory for 0.2 s the body is discarded and the request rejected in its order. A quarter of the budget is never lent to long commands. Connections, budget and customers are parts of one plan of 0.9 of the limit less the memory at rest (without mapped files, as it was counted before), for both processes of a hot restart; the process's own memory bounds what is taken. At the limit of connections an unfinished command gives way, the slowest first.

--- a/mapleshunt/cli/rig_crowds.py
+++ b/mapleshunt/cli/rig_crowds.py
@@ -18,6 +18,7 @@
 @click.option("--seconds", default=6.0, show_default=True, type=click.FloatRange(1))
 @click.option("--sound-rate", default=50.0, show_default=True, type=click.FloatRange(1, 500))
 @click.option("--sound-body", default=0, show_default=True, type=click.IntRange(0, 65536), help="Bytes.")
+@click.option("--value", default=100, show_default=True, type=click.IntRange(16, 65536), help="Bytes.")
 @click.option(
     "--restart", default="none", show_default=True, type=click.Choice([kind.value for kind in Restart])
 )
@@ -33,6 +34,7 @@
     seconds: float,
     sound_rate: float,
     sound_body: int,
+    value: int,
     restart: str,
     seed: int,
     program: Path | None,
@@ -54,6 +56,7 @@
         seconds=seconds,
         sound_rate=sound_rate,
         sound_body_bytes=sound_body,
+        value_bytes=value,
         restart=Restart(restart),
         seed=seed,
     )
--- a/mapleshunt/net/client/connection.py
+++ b/mapleshunt/net/client/connection.py
@@ -10,7 +10,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol
+from typing import Protocol, cast
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -24,11 +24,14 @@
 from ..request.parse import UnacceptableRequestError
 from . import limits, socket_state
 from .close_report import report_crossing
+from .read_grants import ReadGrants
 from .requests import RequestRegistry, admit_request, parse_command
 from .response_slot import ResponseSlot
+from .skipped_command import SkippedCommand
 from .write_buffer import WriteBuffer
 
 PONG = b"+PONG\r\n"
+INCOMPLETE_COMMAND_REPLY = resp.encode_error("ERR a command was begun and not ended")
 
 
 @functools.cache
@@ -55,6 +58,7 @@
 
     is_ready: Callable[[], bool]
     memory: MemoryBudget
+    read_grants: ReadGrants
     connections: dict[ClientConnection, None]
     lingering_count: int
     on_connection_ended: Callable[[], None]
@@ -84,6 +88,7 @@
         self.slots: deque[ResponseSlot] = deque()  # commands that await their response, in order
         self.output = WriteBuffer(stream, self.memory.release)
         self.pause_reason: PauseReason | None = None
+        self.skipped: SkippedCommand | None = None  # the command whose body is being discarded
         self.closing = False  # no further command is processed
         self.answered_in_drain = False  # a response was written while the gateway was draining
         self.close_reason: ClientCloseReason | None = None
@@ -104,23 +109,13 @@
         """Read until the connection is closed. The task is never cancelled: `close` ends it."""
         while self in self.registry.connections:
             try:
-                if self.closing:
-                    await self._discard_input()
-                elif self.pause_reason and self._is_buffer_full():
-                    await self._wait_with_full_buffer()
-                else:
-                    await self._read()
-                    if self.closing:
-                        self._report_crossing(
-                            memoryview(self.buffer.data)[self.buffer.start : self.buffer.end]
-                        )
-                    self._process_commands()
+                await self._read_on()
             except StreamClosedError as closed:
                 reason = ClientCloseReason.CLIENT_CLOSED
                 if closed.real_error:
                     reason = ClientCloseReason.CLIENT_RESET
                 self.close(self.close_reason or reason)
-            except MessageTooLongError as error:
+            except (MessageTooLongError, resp.ProtocolError) as error:
                 self._reject_malformed(error)
             except Exception:
                 self._log_exception()
@@ -129,8 +124,100 @@
                 else:
                     self._reply_and_close(command_protocol.FAILURE_REPLY, ClientCloseReason.EXCEPTION)
 
-    def _is_buffer_full(self) -> bool:
-        return self.buffer.end - self.buffer.start >= self.buffer.max_bytes - CHUNK_BYTES
+    async def _read_on(self) -> None:
+        """Read once, as the state of the connection asks for, and process what has come."""
+        if self.closing:
+            await self._discard_input()
+        elif self.skipped is not None:
+            await self._skip(self.skipped)
+        elif self.pause_reason and not self._make_room_to_read_ahead():
+            await self._wait_with_full_buffer()
+        elif self.pause_reason or await self._make_room_for_command():
+            await self._read()
+            if self.closing:
+                self._report_crossing(memoryview(self.buffer.data)[self.buffer.start : self.buffer.end])
+            self._process_commands()
+
+    def _make_room_to_read_ahead(self) -> bool:
+        """Make room for what follows commands that wait; return whether there is some."""
+        buffer = self.buffer
+        if buffer.end - buffer.start >= buffer.max_bytes - CHUNK_BYTES:
+            return False
+        size = buffer.size_to_read(None)
+        if size > max(CHUNK_BYTES, len(buffer.data)):
+            return self.registry.read_grants.try_take(self, size)
+        buffer.make_room(size)
+        return True
+
+    async def _make_room_for_command(self) -> bool:
+        """Make room for the rest of a command, or begin to discard it; return whether there is room.
+
+        Waits for a grant of memory if the command is longer than the first buffer. Cancelling it withdraws
+        the request.
+
+        Raises:
+            MessageTooLongError: the command exceeds the limit.
+        """
+        buffer = self.buffer
+        command = resp.scan_command(buffer.data, buffer.start, buffer.end)
+        size = buffer.size_to_read(None if command is None else command.end - buffer.start)
+        if size <= max(CHUNK_BYTES, len(buffer.data)):
+            buffer.make_room(size)
+            return True
+        if await self.registry.read_grants.take(self, size):
+            return not self.closing
+        if not self.closing and self in self.registry.connections:
+            self._begin_skip()
+        return False
+
+    def grant_bytes(self, size: int) -> None:
+        """Replace the read buffer by one of that size; it counts as held from now on."""
+        self.buffer.make_room(size)
+
+    def has_grant(self) -> bool:
+        """Return whether its read buffer is longer than the first one."""
+        return len(self.buffer.data) > CHUNK_BYTES and self in self.registry.connections
+
+    def give_way(self) -> bool:
+        """End the connection because its command does not come; return whether it was ended.
+
+        It is closed at once: while it lingered, it would keep its buffer.
+        """
+        is_owed_nothing = not (self.slots or self.closing or self.pause_reason or self.output.is_writing())
+        if not is_owed_nothing or not self.has_partial_command() or self._has_new_input():
+            return False
+        self._write([INCOMPLETE_COMMAND_REPLY])
+        self.close(ClientCloseReason.INCOMPLETE_COMMAND)
+        return True
+
+    def _begin_skip(self) -> None:
+        """Discard the rest of a command for which there is no memory, and reject it once it is complete."""
+        command = resp.scan_command(self.buffer.data, self.buffer.start, self.buffer.end)
+        if command is None or command.is_complete:
+            return  # it was consumed meanwhile
+        if not command.lacks_only_body():
+            raise resp.ProtocolError("the words ahead of the body are too long")
+        self.registry.counters.add("commands_skipped")
+        read_bytes = self.buffer.end - self.buffer.start
+        self.skipped = SkippedCommand(command, self.buffer.start, read_bytes)
+        self.arrivals.clear()
+        self.consumed_bytes += read_bytes
+        self.buffer.consume(self.buffer.end)
+
+    async def _skip(self, skipped: SkippedCommand) -> None:
+        """Discard what has come of a skipped command; reject it at its end."""
+        target = memoryview(_discard_buffer())[: skipped.missing_bytes]
+        count = await self.stream.read_into(cast(bytearray, target), partial=True)
+        self.last_activity_at = self.last_read_at = self.loop.time()
+        self.consumed_bytes += count
+        skipped.missing_bytes -= count
+        if skipped.missing_bytes or self.closing:
+            return
+        self.skipped = None
+        self.command_count += 1
+        arrived_at = self.last_activity_at - self._age_of_last_data()
+        self._handle_command(skipped.words_without_body(), skipped.size, arrived_at, has_memory=False)
+        self.command_started_at = self.loop.time()
 
     async def _wait_with_full_buffer(self) -> None:
         """Pause reading, and check for a disconnect, which unread bytes hide from reads."""
@@ -145,7 +232,7 @@
 
     async def _read(self) -> None:
         was_empty = self.buffer.start == self.buffer.end
-        await self.buffer.fill(self.stream)
+        await self.buffer.fill_room(self.stream)
         self.last_activity_at = self.last_read_at = self.loop.time()
         if was_empty:
             self.command_started_at = self.last_activity_at
@@ -207,7 +294,7 @@
 
     def _process_command(self, words: list[memoryview], size: int) -> None:
         self.command_count += 1
-        if not self._handle_command(words, size, self._command_arrived_at()):
+        if not self._handle_command(words, size, self._command_arrived_at(), self._has_memory(size)):
             self.unacceptable_count += 1
             if self.unacceptable_count == limits.MAX_UNACCEPTABLE_COMMANDS:
                 raise resp.ProtocolError("too many commands that cannot be served")
@@ -228,12 +315,20 @@
             self.arrivals.popleft()
         return self.arrivals[0][1] if self.arrivals else self.loop.time()
 
-    def _handle_command(self, words: list[memoryview], size: int, arrived_at: float) -> bool:
+    def _has_memory(self, size: int) -> bool:
+        """Return whether there is memory for a command of `size` bytes that has been read.
+
+        Further commands have waited for it, and long ones are read with a grant.
+        """
+        return bool(self.slots) or size > CHUNK_BYTES or self.memory.admits_first(size)
+
+    def _handle_command(
+        self, words: list[memoryview], size: int, arrived_at: float, has_memory: bool
+    ) -> bool:
         """Respond to a command or admit its request; return False if the command is unacceptable.
 
-        `size` is the command's length in bytes.
+        `size` is the command's length in bytes. Without memory a request is rejected.
         """
-        has_memory = bool(self.slots) or self.memory.admits_first(size)  # further ones have waited for it
         slot = self._new_slot()
         if bytes(words[0]).upper() == b"PING":
             slot.put(PONG if self.registry.is_ready() else resp.encode_error("ERR not ready"))
@@ -249,7 +344,8 @@
             slot.put(command_protocol.FAILURE_REPLY)
             return True
         is_first = len(self.slots) == 1 and not self.answered_in_drain
-        slot.hold_request(size)
+        if has_memory:
+            slot.hold_request(size)
         admit_request(self.registry, context, is_first, has_memory)
         return True
 
@@ -336,12 +432,16 @@
 
     def is_busy(self) -> bool:
         """Return whether a response is pending or being written, or a command is partly read."""
-        has_partial_command = self.buffer.start != self.buffer.end and not self.closing
+        has_partial_command = self.has_partial_command() and not self.closing
         if has_partial_command and self._must_end() and self.command_count:
             # A client that keeps sending would never become idle, so only paused complete commands count.
             has_partial_command = self.pause_reason is not None
         return bool(self.slots) or has_partial_command or self.output.is_writing()
 
+    def has_partial_command(self) -> bool:
+        """Return whether a command is partly read, or partly discarded."""
+        return self.buffer.start != self.buffer.end or self.skipped is not None
+
     def _must_end(self) -> bool:
         return self.registry.drain_stage >= DrainStage.FORCE_END
 
@@ -364,12 +464,11 @@
             if now - self.output.last_write_at > limits.RESPONSE_READ_TIMEOUT_S:
                 self.close(ClientCloseReason.SLOW_CLIENT)
             return
-        has_partial_command = self.buffer.start != self.buffer.end
+        has_partial_command = self.has_partial_command()
         if self.closing or self.pause_reason or not self._is_overdue(now, has_partial_command):
             return
         if has_partial_command and not self._has_new_input():
-            text = resp.encode_error("ERR a command was begun and not ended")
-            self._reply_and_close(text, ClientCloseReason.INCOMPLETE_COMMAND)
+            self._reply_and_close(INCOMPLETE_COMMAND_REPLY, ClientCloseReason.INCOMPLETE_COMMAND)
         elif not has_partial_command:
             self.end_if_at_rest(ClientCloseReason.IDLE)
 
@@ -462,6 +561,7 @@
                 self.registry.driver.client_disconnected(slot.context)
         self.slots.clear()
         self.memory.close()
+        self.registry.read_grants.forget(self)
         self.registry.on_connection_ended()
 
     def _log_close(self, reason: ClientCloseReason, has_unread_bytes: bool) -> None:
--- a/mapleshunt/net/client/connections.py
+++ b/mapleshunt/net/client/connections.py
@@ -17,6 +17,7 @@
 from ..reasons import ClientCloseReason
 from . import limits
 from .connection import ClientConnection
+from .read_grants import ReadGrants
 
 EVICTED = ClientCloseReason.EVICTED
 REQUEST_ID_BITS = 40  # random bits of the first request ID
@@ -43,6 +44,7 @@
             memory: limits what all connections may hold; without it nothing is limited.
         """
         self.memory = memory or MemoryBudget()
+        self.read_grants = ReadGrants(self.memory, counters)
         self.driver, self.counters = driver, counters
         self.max_open_requests = max_open_requests
         # Gateways identify a request in gossip by part of this ID: with the same IDs after a restart, a
@@ -120,6 +122,32 @@
             if now - connection.last_activity_at >= idle_s
         )
 
+    def end_unfinished(self, count: int) -> int:
+        """End up to `count` connections whose command is not complete, to make room for others.
+
+        Those come first whose bytes do not come, then those whose command was begun first. Returns how many
+        were ended.
+        """
+        now = asyncio.get_running_loop().time()
+        unfinished = [
+            (now - connection.last_read_at < limits.STALL_TIMEOUT_S, connection.command_started_at, number)
+            for number, connection in enumerate(self.connections)
+            if connection.has_partial_command()
+            and (
+                now - connection.last_read_at >= limits.STALL_TIMEOUT_S
+                or now - connection.command_started_at >= limits.CROWDED_COMMAND_TIMEOUT_S
+            )
+        ]
+        unfinished.sort()
+        connections = list(self.connections)
+        ended = 0
+        for _, _, number in unfinished:
+            if ended >= count:
+                break
+            ended += connections[number].give_way()
+        self.counters.add("unfinished_commands_ended", ended)
+        return ended
+
     def close_lingering(self, max_lingering: int) -> None:
         """Close the oldest lingering connections beyond `max_lingering`."""
         for connection in list(self.connections) if self.lingering_count > max_lingering else ():
--- a/mapleshunt/net/memory.py
+++ b/mapleshunt/net/memory.py
@@ -1,41 +1,50 @@
 """The memory that this process holds for its peers, as one budget.
 
-Commands that await their response, responses that wait for their turn or for their client to read, and the
-buffers that peers are read into are counted here by their owners. What may be taken from a client follows
-from what is free in all, not from a limit of each connection: hundreds of connections within their limits
-would exceed the memory together.
+Commands that are not complete, commands that await their response, responses that wait for their turn or for
+their client to read, and the buffers that peers are read into are counted here by their owners. What may be
+taken from a client follows from what is free in all, not from a limit of each connection: hundreds of
+connections within their limits would exceed the memory together.
 """
 
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
+from dataclasses import dataclass
 from pathlib import Path
 
 from .protocol import resp
 
 UNLIMITED_BYTES = 1 << 62
+UNLIMITED_COUNT = 1 << 31
 # A response of the longest value with its framing: reserved for each command, whatever its response will be.
 MAX_RESPONSE_BYTES = resp.MAX_VALUE_BYTES + 16
 # Objects and timers of an open request, without its message.
 REQUEST_BYTES = 8192
+# What an open connection costs while nothing long is read or written: its objects and its first read buffer.
+CONNECTION_BYTES = 8 << 10
+# What a customer costs in the policy's tables.
+CUSTOMER_BYTES = 2 << 10
 # A connection may hold as much as this fraction of what is free. So a single one gets a ninth of the budget,
 # and however many are greedy, a part of it stays free for others (dynamic thresholds of shared buffers).
 FREE_FRACTION = 1 / 8
-# Of the memory that the process does not use at rest. The rest is for what is not counted: fragmentation,
-# copies that exist for a moment, growth of the policy's state, lists of endpoints.
-BUDGET_FRACTION = 1 / 2
+# Of the process's limit. The rest is for samples that come late and for the kernel's accounting.
+USABLE_FRACTION = 0.9
+# Of the memory that the process does not use at rest: at most this for connections, and of what they leave
+# this for the budget and this for customers. The rest is for what is not counted: fragmentation, copies that
+# exist for a moment, lists of endpoints.
+MAX_CONNECTIONS_FRACTION = 0.6
+BUDGET_FRACTION = 0.6
+CUSTOMERS_FRACTION = 0.2
+KEPT_FRACTION = 1 / 4  # of the budget: never lent to commands that are longer than the first read buffer
 MIN_BUDGET_BYTES = 16 * MAX_RESPONSE_BYTES  # also where the process uses its limit up at rest
+MIN_CONNECTIONS = 64
+MIN_CUSTOMERS = 512
+# What may be taken even if the process uses up its memory: short requests, a few at a time.
+MIN_HEADROOM_BYTES = 256 << 10
 STATM_PATH = Path("/proc/self/statm")
 RESIDENT_FIELD, SHARED_FIELD = 1, 2  # of statm, in pages
-ASSUMED_RESIDENT_BYTES = 32 << 20  # where the kernel does not tell
-
-
-def resident_bytes() -> int:
-    """Return the memory that this process uses now, the files that it maps included."""
-    try:
-        return int(STATM_PATH.read_text().split()[RESIDENT_FIELD]) * os.sysconf("SC_PAGE_SIZE")
-    except (OSError, ValueError, IndexError):
-        return ASSUMED_RESIDENT_BYTES
+ASSUMED_PRIVATE_BYTES = 20 << 20  # where the kernel does not tell
 
 
 def private_bytes() -> int:
@@ -44,7 +53,52 @@
         fields = STATM_PATH.read_text().split()
         return (int(fields[RESIDENT_FIELD]) - int(fields[SHARED_FIELD])) * os.sysconf("SC_PAGE_SIZE")
     except (OSError, ValueError, IndexError):
-        return ASSUMED_RESIDENT_BYTES
+        return ASSUMED_PRIVATE_BYTES
+
+
+@dataclass(slots=True, frozen=True)
+class MemoryPlan:
+    """How the memory of one process is divided.
+
+    Attributes:
+        usable_bytes: What the process may use in all.
+        budget_bytes: What may be held for peers.
+        max_connections: How many connections it may have open, to clients and endpoints together.
+        max_customers: How many customers the policy may know.
+    """
+
+    usable_bytes: int = UNLIMITED_BYTES
+    budget_bytes: int = UNLIMITED_BYTES
+    max_connections: int = UNLIMITED_COUNT
+    max_customers: int = UNLIMITED_COUNT
+
+
+def plan_memory(memory_bytes: int, at_rest_bytes: int, max_connections: int, processes: int) -> MemoryPlan:
+    """Divide the memory of one of `processes` processes of a gateway.
+
+    Args:
+        memory_bytes: the limit of the gateway, over which it is killed.
+        at_rest_bytes: what a process uses before it serves clients.
+        max_connections: what the descriptors allow.
+        processes: how many processes share the limit.
+    """
+    usable_bytes = int(USABLE_FRACTION * memory_bytes) // processes
+    free_bytes = max(0, usable_bytes - at_rest_bytes)
+    allowed = int(MAX_CONNECTIONS_FRACTION * free_bytes / CONNECTION_BYTES)
+    max_connections = min(max_connections, max(MIN_CONNECTIONS, allowed))
+    left_bytes = free_bytes - max_connections * CONNECTION_BYTES
+    return MemoryPlan(
+        usable_bytes=usable_bytes,
+        budget_bytes=max(MIN_BUDGET_BYTES // processes, int(BUDGET_FRACTION * left_bytes)),
+        max_connections=max_connections,
+        max_customers=max(MIN_CUSTOMERS, int(CUSTOMERS_FRACTION * left_bytes / CUSTOMER_BYTES)),
+    )
+
+
+def fits_processes(memory_bytes: int, at_rest_bytes: int, processes: int) -> bool:
+    """Return whether so many processes can serve clients within the limit of a gateway."""
+    usable_bytes = int(USABLE_FRACTION * memory_bytes) // processes
+    return usable_bytes - at_rest_bytes >= MIN_BUDGET_BYTES + MIN_CONNECTIONS * CONNECTION_BYTES
 
 
 class MemoryBudget:
@@ -55,13 +109,15 @@
         held_bytes: What is held now.
         reserved_bytes: What the responses may need that open requests still await.
         peak_bytes: The most that was held since the start.
+        on_released: Called when something is released, while somebody waits for that.
     """
 
     __slots__ = (
-        "_processes",
-        "_undivided_bytes",
+        "_headroom_bytes",
+        "_observed_held_bytes",
         "held_bytes",
         "limit_bytes",
+        "on_released",
         "peak_bytes",
         "reserved_bytes",
     )
@@ -72,29 +128,40 @@
         self.held_bytes = 0
         self.reserved_bytes = 0
         self.peak_bytes = 0
-        self._undivided_bytes = limit_bytes  # for all processes of this gateway
-        self._processes = 1
+        self.on_released: Callable[[], None] | None = None
+        # How much more the process may use, and what was held when that was observed.
+        self._headroom_bytes = UNLIMITED_BYTES
+        self._observed_held_bytes = 0
 
-    def set_limit_at_rest(self, memory_bytes: int, at_rest_bytes: int) -> None:
-        """Set the limit from the memory of the process, and what it uses before it serves clients."""
-        free_bytes = memory_bytes - at_rest_bytes
-        self._undivided_bytes = max(MIN_BUDGET_BYTES, int(free_bytes * BUDGET_FRACTION))
-        self.divide(self._processes)
+    def observe(self, headroom_bytes: int) -> None:
+        """Take in how much more memory this process may use, whatever holds what it uses."""
+        self._headroom_bytes = max(MIN_HEADROOM_BYTES, headroom_bytes)
+        self._observed_held_bytes = self.held_bytes
 
-    def divide(self, processes: int) -> None:
-        """Divide the limit between so many processes of this gateway."""
-        self._processes = processes
-        self.limit_bytes = self._undivided_bytes // processes
+    def free_bytes(self) -> int:
+        """Return what may still be held."""
+        grown_bytes = max(0, self.held_bytes - self._observed_held_bytes)  # released memory is used again
+        return min(self.limit_bytes - self.held_bytes, self._headroom_bytes - grown_bytes)
 
     def hold(self, size: int) -> None:
         """Count `size` bytes as held; a negative size releases them."""
         self.held_bytes += size
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
+        if size < 0 and self.on_released is not None:
+            self.on_released()
 
     def reserve(self, size: int) -> None:
         """Reserve `size` bytes; a negative size ends a reservation."""
         self.reserved_bytes += size
 
+    def admits_long(self, size: int) -> bool:
+        """Return whether a connection may read a command of `size` bytes, longer than its first buffer.
+
+        Short commands keep their part, and reservations do not count: they are served while others fill the
+        budget.
+        """
+        return size <= FREE_FRACTION * (self.free_bytes() - KEPT_FRACTION * self.limit_bytes)
+
 
 class MemoryAccount:
     """The part of a budget that one client connection holds. Changes after `close` have no effect."""
@@ -130,15 +197,13 @@
         Its response needs no place: it is written at once. Reservations of others do not count, so that short
         requests are served while pipelines fill the budget.
         """
-        budget = self._budget
-        return size + REQUEST_BYTES <= FREE_FRACTION * (budget.limit_bytes - budget.held_bytes)
+        return size + REQUEST_BYTES <= FREE_FRACTION * self._budget.free_bytes()
 
     def admits_further(self, size: int) -> bool:
         """Return whether a command may be taken behind others, with a place for its response."""
         budget = self._budget
-        free_bytes = budget.limit_bytes - budget.held_bytes - budget.reserved_bytes
         needed_bytes = self.held_bytes + self.reserved_bytes + size + REQUEST_BYTES + MAX_RESPONSE_BYTES
-        return needed_bytes <= FREE_FRACTION * free_bytes
+        return needed_bytes <= FREE_FRACTION * (budget.free_bytes() - budget.reserved_bytes)
 
     def close(self) -> None:
         """Release everything."""
--- a/mapleshunt/net/protocol/resp.py
+++ b/mapleshunt/net/protocol/resp.py
@@ -11,9 +11,9 @@
 
 MAX_VALUE_BYTES = 65536  # per bulk string
 MAX_ITEMS = 16  # per array
-# Of a command, the word at this index may be a value of any length: its body.
+# A command's word at this index, if it is the last one, may be a value of any length: its body.
 BODY_INDEX = 4
-MAX_HEAD_BYTES = 3072  # of a command's other words together, framing included
+MAX_HEAD_BYTES = 1536  # of a command's other words together, framing included
 MAX_LINE_BYTES = 1024
 MAX_MESSAGE_BYTES = MAX_VALUE_BYTES + 8192  # buffer that one message needs
 MAX_DIGITS = 18  # of an integer, sign included; always fits in 64 bits
@@ -72,8 +72,8 @@
     return memoryview(data)[start : start + size], start + size + 2
 
 
-def _parse_word(data: bytearray, start: int, end: int, max_bytes: int) -> tuple[memoryview, int] | None:
-    """Parse one word of a command, of at most `max_bytes`: a longer one is refused by its length."""
+def _parse_word_length(data: bytearray, start: int, end: int, max_bytes: int) -> tuple[int, int] | None:
+    """Parse the length of a command's word, of at most `max_bytes`; return it and where the word begins."""
     if start >= end:
         return None
     if data[start] != BULK_TYPE:
@@ -85,15 +85,36 @@
     if size < 0:
         raise ProtocolError("a word has a length of 0 or more")
     if size > max_bytes:
-        raise ProtocolError(f"a word is longer than {max_bytes} bytes")
-    return _parse_bulk_body(data, line_end + 2, end, size)
+        raise ProtocolError(f"a value is longer than {max_bytes} bytes")
+    return size, line_end + 2
 
 
-def parse_command(data: bytearray, start: int, end: int) -> tuple[list[memoryview], int] | None:
-    """Parse a command, which is an array of bulk strings.
+@dataclass(slots=True)
+class CommandParse:
+    """What a buffer holds of a command.
+
+    Attributes:
+        words: Its complete words.
+        count: How many it has.
+        end: Where it ends; at least, as far as its lengths are known, if it is not complete.
+        is_complete: Whether all of it is there.
+    """
+
+    words: list[memoryview]
+    count: int
+    end: int
+    is_complete: bool
+
+    def lacks_only_body(self) -> bool:
+        """Return whether it is complete but for its body, whose length is known."""
+        return not self.is_complete and len(self.words) == BODY_INDEX and self.count == BODY_INDEX + 1
+
+
+def scan_command(data: bytearray, start: int, end: int) -> CommandParse | None:
+    """Parse as much as there is of a command, which is an array of bulk strings.
 
     Returns:
-        Its words and where it ends, or None until it is complete.
+        None as long as its number of words is not known.
 
     Raises:
         ProtocolError: the bytes do not begin a command.
@@ -111,15 +132,33 @@
     words: list[memoryview] = []
     position, head_bytes = line_end + 2, 0
     for index in range(count):
-        max_bytes = MAX_VALUE_BYTES if index == BODY_INDEX else MAX_HEAD_BYTES - head_bytes
-        parsed = _parse_word(data, position, end, max_bytes)
+        is_body = index == BODY_INDEX and index == count - 1
+        max_bytes = MAX_VALUE_BYTES if is_body else MAX_HEAD_BYTES - head_bytes
+        length = _parse_word_length(data, position, end, max_bytes)
+        if length is None:
+            return CommandParse(words, count, max(end, position) + 1, False)
+        size, word_start = length
+        parsed = _parse_bulk_body(data, word_start, end, size)
         if parsed is None:
-            return None
+            return CommandParse(words, count, word_start + size + 2, False)
         words.append(parsed[0])
-        if index != BODY_INDEX:
+        if not is_body:
             head_bytes += parsed[1] - position
         position = parsed[1]
-    return words, position
+    return CommandParse(words, count, position, True)
+
+
+def parse_command(data: bytearray, start: int, end: int) -> tuple[list[memoryview], int] | None:
+    """Parse a command.
+
+    Returns:
+        Its words and where it ends, or None until it is complete.
+
+    Raises:
+        ProtocolError: the bytes do not begin a command.
+    """
+    command = scan_command(data, start, end)
+    return (command.words, command.end) if command is not None and command.is_complete else None
 
 
 def parse_reply(
--- a/mapleshunt/server/client_admission.py
+++ b/mapleshunt/server/client_admission.py
@@ -25,6 +25,7 @@
 # At the limit each new connection evicts another, which may be about to send: between a few of them the loop
 # reads what has arrived.
 MAX_EVICTIONS_PER_TURN = 8
+RETRY_INTERVAL_S = 0.02  # between two looks for connections to end while accepting is paused
 
 
 class ClientAdmission:
@@ -45,6 +46,7 @@
         self.acceptors: list[Acceptor] = []
         self._lifecycle = lifecycle
         self._counters = counters
+        self._retry_timer: asyncio.TimerHandle | None = None  # while accepting is paused for lack of room
         connections.on_connection_ended = self.resume_accepting
 
     def add_listener(self, listener: socket.socket) -> None:
@@ -66,12 +68,25 @@
 
     def _accept(self, connection: socket.socket) -> None:
         self.connections.add(IOStream(connection, read_chunk_size=CHUNK_BYTES))
-        if not self.has_capacity() and not self.connections.evict_idle():
+        if not self.has_capacity() and not self._make_room():
             log.log_event("accepting_paused", client_connections=len(self.connections.connections))
             self.stop_accepting()
+            self._retry_timer = asyncio.get_running_loop().call_later(RETRY_INTERVAL_S, self._retry)
         if not self.has_capacity():
             self.connections.close_lingering(MAX_LINGERING)
 
+    def _make_room(self) -> bool:
+        """Evict an idle connection, or some whose commands do not come; return whether there is room."""
+        return self.connections.evict_idle() or self.connections.end_unfinished(MAX_EVICTIONS_PER_TURN) > 0
+
+    def _retry(self) -> None:
+        """While accepting is paused, end connections whose commands have not come meanwhile."""
+        self._retry_timer = None
+        if not self.accepting and not self.has_capacity():
+            self.connections.end_unfinished(MAX_ACCEPTS_PER_TURN)
+            if not self.accepting:
+                self._retry_timer = asyncio.get_running_loop().call_later(RETRY_INTERVAL_S, self._retry)
+
     def free_descriptors(self) -> None:
         """Close an idle connection and all lingering ones, because no descriptor is left."""
         self.connections.evict_idle()
@@ -110,6 +125,9 @@
     def stop_accepting(self) -> None:
         """Leave new connections in the kernel's backlog."""
         self.accepting = False
+        if self._retry_timer is not None:
+            self._retry_timer.cancel()
+            self._retry_timer = None
         for acceptor in self.acceptors:
             acceptor.stop()
 
--- a/mapleshunt/server/descriptor_budget.py
+++ b/mapleshunt/server/descriptor_budget.py
@@ -1,4 +1,4 @@
-"""The division of this process's file descriptors between clients and upstream endpoints."""
+"""The division of this process's connections between clients and upstream endpoints."""
 
 from __future__ import annotations
 
@@ -19,7 +19,13 @@
 
 
 class DescriptorBudget:
-    """Divides the descriptors. In a hot restart the older and the newer process get half of each part."""
+    """Divides the descriptors. In a hot restart the older and the newer process get a part of each.
+
+    Attributes:
+        processes: How many processes of this gateway share the descriptors.
+        max_clients: How many connections this process may have to clients.
+        eviction_threshold: Above this number of client connections idle ones are evicted.
+    """
 
     def __init__(self, configured: int, reserved: int, upstreams: EndpointGroup) -> None:
         """Divide the descriptors for a single process.
@@ -34,11 +40,18 @@
         self._upstreams = upstreams
         self.divide(1)
 
-    def divide(self, processes: int) -> None:
-        """Divide the descriptors again, for one of `processes` processes of this gateway."""
+    def usable(self, processes: int) -> int:
+        """Return how many connections the descriptors allow one of so many processes."""
+        return self._usable // processes
+
+    def divide(self, processes: int, max_connections: int | None = None) -> None:
+        """Divide again, for one of `processes` processes; `max_connections` is what the memory allows it."""
         self.processes = processes
-        upstream = int(self._usable * UPSTREAM_FRACTION / processes)
-        self.max_clients = self._usable // processes - upstream
+        usable = self.usable(processes)
+        if max_connections is not None:
+            usable = min(usable, max_connections)
+        upstream = int(usable * UPSTREAM_FRACTION)
+        self.max_clients = usable - upstream
         # Normal traffic needs a third of the limit at most. Idle connections are evicted well before that.
-        self.eviction_threshold = self._limit // (5 * processes)
+        self.eviction_threshold = min(self._limit // (5 * processes), self.max_clients // 2)
         self._upstreams.set_connection_limit(upstream)
--- a/mapleshunt/server/gateway_server.py
+++ b/mapleshunt/server/gateway_server.py
@@ -21,7 +21,7 @@
 from ..net.client.listener import bind_socket
 from ..net.config import Config, ConfigError, format_address
 from ..net.counters import Counters
-from ..net.memory import MemoryBudget, resident_bytes
+from ..net.memory import UNLIMITED_BYTES, MemoryBudget, fits_processes, plan_memory, private_bytes
 from ..net.periodic import PeriodicTask
 from ..net.policy_driver import PolicyDriver
 from ..net.reasons import ClientCloseReason
@@ -60,6 +60,8 @@
         self.counters = Counters()
         self.stop_requested = asyncio.Event()
         self.memory = MemoryBudget()
+        self.memory_at_rest_bytes = 0  # what this process uses before it serves clients; 0 until it is known
+        self._usable_bytes = UNLIMITED_BYTES
         self.upstreams = EndpointGroup(
             self.counters, config.dial_timeout_ms, config.idle_timeout_ms / 3, 0, self.memory
         )
@@ -107,7 +109,7 @@
                 self.counters.add,
                 self._monitoring.report_loop_delay,
             ),
-            PeriodicTask(self._monitoring.report_high_memory, CLIENT_SWEEP_INTERVAL_S, self.counters.add),
+            PeriodicTask(self.observe_memory, CLIENT_SWEEP_INTERVAL_S, self.counters.add),
             PeriodicTask(self._monitoring.log_counters, COUNTERS_LOG_INTERVAL_S, self.counters.add),
         ]
         for sweep in sweeps:
@@ -165,8 +167,7 @@
         self.gossip.retry_open(self.reloader.config)
         processes = 1 + self.takeover.has_other_process
         if processes != self.clients.budget.processes:
-            self.clients.budget.divide(processes)
-            self.memory.divide(processes)
+            self.divide_memory(processes)
 
     def _open_admin_endpoint(self) -> None:
         from ..net.admin.endpoint import AdminEndpoint
@@ -229,7 +230,7 @@
     def start_serving(self) -> None:
         """Start to accept client connections; a socket that is not inherited refuses them until now."""
         config = self.reloader.config
-        self.measure_memory_at_rest()
+        self.divide_memory(1 if self.takeover is None else 1 + self.takeover.has_other_process)
         if config.accept_fd is None:
             self.clients.start_listening()
         start_ms = 1000 * (time.monotonic() - PROCESS_STARTED_AT)
@@ -250,9 +251,26 @@
             servers=len(self.upstreams.pools),
         )
 
-    def measure_memory_at_rest(self) -> None:
-        """Set what may be held for clients and endpoints by what this process uses without them."""
-        self.memory.set_limit_at_rest(self.reloader.config.memory_bytes, resident_bytes())
+    def divide_memory(self, processes: int) -> None:
+        """Set what this process, one of `processes`, may hold and how many connections it may have.
+
+        Memory once used stays with the process: where a second one may come, it is divided from the start.
+        """
+        if not self.memory_at_rest_bytes:
+            self.memory_at_rest_bytes = private_bytes()
+        budget, memory_bytes = self.clients.budget, self.reloader.config.memory_bytes
+        shares = processes
+        if self.takeover is not None and fits_processes(memory_bytes, self.memory_at_rest_bytes, 2):
+            shares = 2
+        plan = plan_memory(memory_bytes, self.memory_at_rest_bytes, budget.usable(processes), shares)
+        self.memory.limit_bytes, self._usable_bytes = plan.budget_bytes, plan.usable_bytes
+        budget.divide(processes, plan.max_connections)
+
+    def observe_memory(self) -> None:
+        """Let the budget see how much more memory this process may use. Called periodically."""
+        used_bytes = private_bytes()
+        self.memory.observe(self._usable_bytes - used_bytes)
+        self._monitoring.report_high_memory(used_bytes)
 
     # Shutdown
 
--- a/mapleshunt/server/monitoring.py
+++ b/mapleshunt/server/monitoring.py
@@ -67,9 +67,8 @@
             "timers": len(self._driver.gateway.timers),
         }
 
-    def report_high_memory(self) -> None:
+    def report_high_memory(self, used_bytes: int) -> None:
         """Log who holds memory if the process is near its limit: one that is killed over it logs nothing."""
-        used_bytes = private_bytes()
         now = time.monotonic()
         if (
             used_bytes < HIGH_MEMORY_FRACTION * self._memory_bytes
--- a/mapleshunt/testbed/crowds/crowd.py
+++ b/mapleshunt/testbed/crowds/crowd.py
@@ -74,7 +74,8 @@
 ) -> None:
     writer.write(_long_command(rng, LONGEST_BODY_BYTES)[: rng.choice(STOP_LENGTHS)])
     with contextlib.suppress(TimeoutError):
-        await asyncio.wait_for(_read_until_end(reader), STOP_S)
+        async with asyncio.timeout(STOP_S):
+            await _read_until_end(reader)
 
 
 async def _stop(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, rng: random.Random) -> None:
--- a/mapleshunt/testbed/crowds/parameters.py
+++ b/mapleshunt/testbed/crowds/parameters.py
@@ -55,6 +55,7 @@
         seconds: For which the crowd is there.
         sound_rate: Requests per second of sound clients, each on a connection of its own.
         sound_body_bytes: Length of the body of each of them; 0 for none.
+        value_bytes: Length of each value that a backend returns.
         restart: What happens to the gateway meanwhile.
         seed: Of all random draws.
     """
@@ -66,5 +67,6 @@
     seconds: float = 6.0
     sound_rate: float = 50.0
     sound_body_bytes: int = 0
+    value_bytes: int = 100
     restart: Restart = Restart.NONE
     seed: int = 1
--- a/mapleshunt/testbed/crowds/run.py
+++ b/mapleshunt/testbed/crowds/run.py
@@ -24,10 +24,10 @@
 from .sound_clients import Service, SoundClients
 
 BACKENDS = 14
-VALUE_BYTES = 100
-WORK_MS = 20.0  # mean, at a backend
+WORK_MS = 20.0  # of a request, at a backend
 LEAD_S = 3.0  # for which sound requests are sent before the crowd comes, and after it has gone
 SETTLE_S = 1.0  # after the crowd has gone; later requests count as without it
+CROWD_END_S = 10.0  # within which the crowd's process has to end
 RESTART_PAUSE_S = 1.0  # from a kill to the next start
 KILL_AFTER_S = 3.7  # from SIGTERM: the longest deadline, counted as 3 s, and 0.7 s
 FLOOD_SETTLE_S = 10.0  # after which a flood on one connection may not grow the memory any more
@@ -101,7 +101,8 @@
         try:
             early_mb = await self._stay_beside_crowd()
             await sending
-            connections = int((await asyncio.to_thread(crowd.communicate))[0] or 0)
+            output, _ = await asyncio.to_thread(crowd.communicate, timeout=CROWD_END_S)
+            connections = int(output or 0)
         finally:
             crowd.kill()
             await asyncio.to_thread(crowd.wait)
@@ -185,7 +186,9 @@
 
 
 async def _play(parameters: CrowdParameters, folder: Path, program: Path) -> CrowdReport:
-    backend_parameters = PipelineParameters(value_bytes=VALUE_BYTES, work_ms=WORK_MS, seed=parameters.seed)
+    backend_parameters = PipelineParameters(
+        value_bytes=parameters.value_bytes, work_ms=WORK_MS, is_work_constant=True, seed=parameters.seed
+    )
     backends = [LongValueBackend(number, backend_parameters) for number in range(BACKENDS)]
     for backend in backends:
         await backend.start()
--- a/mapleshunt/testbed/pipelines/backends.py
+++ b/mapleshunt/testbed/pipelines/backends.py
@@ -72,4 +72,6 @@
 
     def _work_s(self) -> float:
         mean_s = self._parameters.work_ms / 1000
+        if self._parameters.is_work_constant:
+            return mean_s
         return min(MAX_WORK_MULTIPLE * mean_s, self._random.expovariate(1 / mean_s))
--- a/mapleshunt/testbed/pipelines/parameters.py
+++ b/mapleshunt/testbed/pipelines/parameters.py
@@ -23,6 +23,7 @@
         body_bytes: Length of the body of each command; 0 for none.
         value_bytes: Length of each value that a backend returns.
         work_ms: Mean work of a request at a backend.
+        is_work_constant: Whether each request takes that long; otherwise the work is drawn.
         sound_rate: Short requests per second beside the pipelines, each on a connection of its own.
         seed: Of all random draws.
     """
@@ -35,6 +36,7 @@
     body_bytes: int = 0
     value_bytes: int = 64000
     work_ms: float = 100.0
+    is_work_constant: bool = False
     sound_rate: float = 50.0
     seed: int = 1
 
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -37,6 +37,7 @@
 settings.load_profile("steady")
 
 CUSTOMER = b"00000000b4d65521"
+LONG_BODY_HEAD = b"*5" + resp.encode_command([b"x"] * 4)[2:] + b"$70000\r\n"
 REQUEST_IDS = itertools.count()
 
 
@@ -786,7 +787,7 @@
 
     @open_now
     @precondition(lambda self: self.steps_before_close <= 0)
-    @rule(data=st.sampled_from([b"GET / HTTP/1.1\r\n", b"*1\r\n$70000\r\n"]))
+    @rule(data=st.sampled_from([b"GET / HTTP/1.1\r\n", LONG_BODY_HEAD]))
     def malformed_command_is_sent(self, data: bytes) -> None:
         self.run_step(lambda: self.client_end.send(data))
         self.malformed = True
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -23,6 +23,7 @@
     [
         (CrowdKind.STOPPED_CLOSING, 32, 340),
         (CrowdKind.STOPPED, 32, 340),
+        (CrowdKind.STOPPED, 64, 580),
         (CrowdKind.STOPPED, 64, 900),
         (CrowdKind.SLOW, 32, 340),
     ],
--- a/tests/test_gateway_server.py
+++ b/tests/test_gateway_server.py
@@ -15,6 +15,7 @@
 import pytest
 
 from mapleshunt.net import config
+from mapleshunt.net.client import limits
 from mapleshunt.net.protocol import resp
 from mapleshunt.server.gateway_server import GatewayServer
 
@@ -139,15 +140,20 @@
     assert process.returncode == 2 and stderr.startswith(f"mapleshunt: {message}") and stderr.count("\n") == 1
 
 
-def test_new_connections_wait_in_the_backlog_when_the_limit_is_reached_and_none_is_idle() -> None:
+def test_new_connections_wait_in_the_backlog_when_the_limit_is_reached_and_none_is_idle(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     # A connection that was accepted and closed at once may have carried a request, which was lost.
+    monkeypatch.setattr(limits, "STALL_TIMEOUT_S", 3600.0)
+    monkeypatch.setattr(limits, "CROWDED_COMMAND_TIMEOUT_S", 3600.0)
+
     async def run() -> None:
         env = {"PROXY_LISTEN": "127.0.0.1:0", "PROXY_DISCOVERY": "127.0.0.1:1"}
         server = GatewayServer(config.parse(EXAMPLE_CONFIG.read_text(), env))
-        server.clients.budget.max_clients = 2
         task = asyncio.create_task(server.run())
         while not server.clients.accepting:
             await asyncio.sleep(0)
+        server.clients.budget.max_clients = 2
         clients = []
         for number in range(3):
             reader, writer = await asyncio.open_connection(*server.clients.listeners[0].getsockname())
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -13,11 +13,16 @@
 from mapleshunt.net.client import limits
 from mapleshunt.net.client.write_buffer import MAX_JOINED_BYTES, join_short
 from mapleshunt.net.memory import (
+    CONNECTION_BYTES,
+    CUSTOMER_BYTES,
+    FREE_FRACTION,
     MAX_RESPONSE_BYTES,
     MIN_BUDGET_BYTES,
+    MIN_CUSTOMERS,
     REQUEST_BYTES,
     MemoryAccount,
     MemoryBudget,
+    plan_memory,
 )
 from mapleshunt.net.policy_driver import PolicyDriver
 from mapleshunt.net.protocol import resp
@@ -44,8 +49,7 @@
     env = {"PROXY_LISTEN": "127.0.0.1:0", "PROXY_DISCOVERY": "127.0.0.1:1"}
     server = GatewayServer(config.parse(json.dumps(text), env))
     # The process of the tests is larger than a gateway's.
-    server.memory.set_limit_at_rest(memory_mb << 20, GATEWAY_AT_REST_BYTES)
-    monkeypatch.setattr(server, "measure_memory_at_rest", lambda: None)
+    monkeypatch.setattr(gateway_server, "private_bytes", lambda: GATEWAY_AT_REST_BYTES)
     server.connections.driver = cast(PolicyDriver, FakeDriver())
     task = asyncio.create_task(server.run())
     while not server.clients.accepting:
@@ -67,9 +71,9 @@
         assert await reader.readexactly(len(LONGEST_VALUE) + 2) == LONGEST_VALUE + resp.CRLF
 
 
-@pytest.mark.parametrize(("memory_mb", "open_at_once"), [(32, 8), (96, 32), (192, 32)])
+@pytest.mark.parametrize("memory_mb", [32, 96, 192])
 def test_full_pipeline_of_the_longest_values_is_answered_whatever_the_memory_limit(
-    memory_mb: int, open_at_once: int, monkeypatch: pytest.MonkeyPatch
+    memory_mb: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # Values that waited behind a slow one were written at once, and refused as a whole below 134 MB.
     async def run() -> None:
@@ -80,9 +84,12 @@
         )
         writer.write(b"".join(query() for _ in range(limits.MAX_PIPELINED_COMMANDS)))
         reading = asyncio.create_task(read_values(reader, limits.MAX_PIPELINED_COMMANDS))
+        command_bytes = REQUEST_BYTES + MAX_RESPONSE_BYTES + len(query())
+        share = int(server.memory.limit_bytes / (1 + 1 / FREE_FRACTION) / command_bytes)
+        open_at_once = min(limits.MAX_PIPELINED_COMMANDS, max(1, share))
         async with asyncio.timeout(TIMEOUT_S):
             await let_commands_be_taken(driver)
-            assert len(driver.open_requests) >= open_at_once
+            assert len(driver.open_requests) == open_at_once
             while not reading.done():
                 await let_commands_be_taken(driver)
                 for request_id in reversed(list(driver.open_requests)):
@@ -194,14 +201,29 @@
     assert new.admits_first(MAX_RESPONSE_BYTES)
 
 
-@pytest.mark.parametrize(("memory_mb", "limit_bytes"), [(96, 38 << 20), (10, MIN_BUDGET_BYTES)])
-def test_budget_is_half_of_what_is_free_at_rest_and_divided_between_processes(
-    memory_mb: int, limit_bytes: int
+@pytest.mark.parametrize("processes", [1, 2])
+@pytest.mark.parametrize(("memory_mb", "connections"), [(32, 992), (48, 992), (96, 480), (192, 992)])
+def test_parts_of_the_memory_plan_fit_together_into_nine_tenths_of_the_limit(
+    memory_mb: int, connections: int, processes: int
 ) -> None:
-    budget = MemoryBudget()
-    budget.set_limit_at_rest(memory_mb << 20, 20 << 20)
-    assert budget.limit_bytes == limit_bytes
-    budget.divide(2)
-    assert budget.limit_bytes == limit_bytes // 2
-    budget.set_limit_at_rest(memory_mb << 20, 20 << 20)
-    assert budget.limit_bytes == limit_bytes // 2
+    at_rest_bytes = 18 << 20
+    plan = plan_memory(memory_mb << 20, at_rest_bytes, connections // processes, processes)
+    assert plan.max_connections <= connections // processes and plan.max_customers >= MIN_CUSTOMERS
+    parts = (
+        at_rest_bytes
+        + plan.max_connections * CONNECTION_BYTES
+        + plan.budget_bytes
+        + plan.max_customers * CUSTOMER_BYTES
+    )
+    if 0.9 * memory_mb / processes - 18 > 6:  # else the least that a process needs exceeds it
+        assert processes * parts <= 0.9 * memory_mb * (1 << 20)
+    assert plan.budget_bytes >= MIN_BUDGET_BYTES // processes
+
+
+def test_budget_admits_nothing_long_once_the_process_has_used_up_its_memory() -> None:
+    budget = MemoryBudget(100 * MAX_RESPONSE_BYTES)
+    account = MemoryAccount(budget)
+    budget.observe(0)
+    assert not budget.admits_long(MAX_RESPONSE_BYTES) and account.admits_first(100)
+    budget.observe(100 * MAX_RESPONSE_BYTES)
+    assert budget.admits_long(MAX_RESPONSE_BYTES)
