Bound the customers that the policy knows: ever new names took 48 MB

Cause: the table of customers was swept at twice its last size and bounded by nothing: 5,934 customers and 44 MB with 0.3 MB counted (memory_high). Fix: the memory plan gives a number of customers. At the number, those are forgotten whose buckets are as full as a new customer's; if none is, a new customer is rejected (rejected_customers): forgetting a quota in use would be a way round it. Before: the test failed (no bound).

--- a/mapleshunt/lifecycle/warm_state.py
+++ b/mapleshunt/lifecycle/warm_state.py
@@ -212,6 +212,8 @@
 
 def _restore_customer(gateway: Gateway, state: CustomerState, now: float, age: float) -> None:
     customer = gateway.customers.get_or_add(state.tag, state.plan, now)
+    if customer is None:
+        return
     captured_at = min(now - age, now)
     customer.bucket.level = min(customer.bucket.burst, state.tokens)
     customer.bucket.updated_at = captured_at
--- a/mapleshunt/policy/actions.py
+++ b/mapleshunt/policy/actions.py
@@ -19,6 +19,9 @@
     OVER_QUOTA = "quota"  # its customer's quota or limit on open requests is used up
     NO_QUOTA_REPLY = "word"  # no owner of its customer's quota replied in time
     NO_SLOT = "slot"  # no slot became free in time
+    TOO_MANY_CUSTOMERS = (
+        "customers"  # its customer is new, and as many as there may be have their quota in use
+    )
     ATTEMPTS_FAILED = "tries"  # its attempts failed and may safely be repeated
 
 
--- a/mapleshunt/policy/admission.py
+++ b/mapleshunt/policy/admission.py
@@ -60,6 +60,10 @@
         """Admit or reject a request, or ask the owner of its quota."""
         customer = self._customers.customer_of(event, now)
         request_class = self._settings.classes[event.request_class]
+        if customer is None:
+            wait = request_class.latency_objective * RETRY_AFTER_PART
+            self._requests.reject(event.request_id, wait, RejectReason.TOO_MANY_CUSTOMERS, now)
+            return
         objective = request_class.latency_objective * (RETRY_OBJECTIVE_PART if event.is_retry else 1.0)
         remaining, margin = event.remaining_time, self._requests.margin
         objective_at = now + min(objective, remaining)
--- a/mapleshunt/policy/customers.py
+++ b/mapleshunt/policy/customers.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+import sys
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -19,6 +20,8 @@
 
 # Time constant of the recent use of a customer whose plan has no rate.
 USE_SPAN_WITHOUT_RATE_MS = 1000.0
+# Least ms between two sweeps for customers whose quota is unused, while the table is full.
+FULL_SWEEP_INTERVAL_MS = 50.0
 # Idle customers are evicted above twice the number of customers after the last sweep plus this.
 MIN_CUSTOMERS_TO_SWEEP = 64
 
@@ -71,6 +74,14 @@
         refill_time = 2 * self.bucket.burst / rate if rate else 0.0
         return not self.open_requests and not self.leases and now - self.bucket.updated_at > refill_time
 
+    def is_unused(self, now: float) -> bool:
+        """Return whether nothing is open or leased and its buckets hold no less than a new customer's."""
+        if self.open_requests or self.leases:
+            return False
+        if self.plan.ceiling_rate and self.ceiling_bucket.refill(now) < 0.0:  # it starts empty
+            return False
+        return all(bucket.refill(now) >= bucket.burst for bucket in (self.bucket, self.fallback_bucket))
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -140,23 +151,42 @@
 class CustomerTable:
     """Customers by tag. Idle ones with a full bucket are evicted, so that no eviction refills a bucket.
 
+    A full table takes no new customer: to forget one whose quota is in use would be a way round it.
+
     Attributes:
         by_tag: The customers.
+        max_customers: How many there may be.
         plan_names: Sorted names of the plans; a plan's number in gossip is its index here.
     """
 
-    __slots__ = ("_latency", "_random", "_settings", "_size_after_sweep", "by_tag", "plan_names")
+    __slots__ = (
+        "_full_swept_at",
+        "_latency",
+        "_random",
+        "_settings",
+        "_size_after_sweep",
+        "by_tag",
+        "max_customers",
+        "plan_names",
+    )
 
     def __init__(self, settings: Settings, latency: LatencyEstimates, rng: random.Random) -> None:
         self._settings, self._latency, self._random = settings, latency, rng
         self.by_tag: dict[int, Customer] = {}
         self.plan_names = sorted(settings.plans)
         self._size_after_sweep = 0  # number of customers after the last sweep
+        self._full_swept_at = -math.inf
+        self.max_customers = sys.maxsize
+
+    def customer_of(self, event: RequestReceived, now: float) -> Customer | None:
+        """Return a request's customer, None if it is new and the table is full.
 
-    def customer_of(self, event: RequestReceived, now: float) -> Customer:
-        """Return a request's customer; at its first request the owners of its quota are chosen."""
+        At its first request the owners of its quota are chosen.
+        """
         plan_code = self.plan_names.index(event.plan)
         customer = self.get_or_add(tag_of(event.customer), plan_code, now)
+        if customer is None:
+            return None
         if not customer.quota_owners:
             size = min(max(event.gateway_set_size, 1), self._settings.gateway_count)
             self._assign_owners(customer, size, event.gateway_set_offset, now)
@@ -175,11 +205,13 @@
         if customer.quota_owners[0] != settings.gateway_index:
             customer.ceiling_bucket = member_ceiling_bucket(customer.ceiling_bucket, size)
 
-    def get_or_add(self, tag: int, plan_code: int, now: float) -> Customer:
-        """Return a customer; an unknown one is added."""
+    def get_or_add(self, tag: int, plan_code: int, now: float) -> Customer | None:
+        """Return a customer; an unknown one is added, unless the table is full."""
         customer = self.by_tag.get(tag)
         if customer is None:
             self._evict_idle(now)
+            if len(self.by_tag) >= self.max_customers and not self._evict_unused(now):
+                return None
             customer = self.by_tag[tag] = self._create(tag, plan_code, now)
         return customer
 
@@ -208,3 +240,13 @@
                 if customer.is_idle(now):
                     del self.by_tag[tag]
             self._size_after_sweep = len(self.by_tag)
+
+    def _evict_unused(self, now: float) -> bool:
+        """Make room in a full table, at most every `FULL_SWEEP_INTERVAL_MS`; return whether there is some."""
+        if now - self._full_swept_at < FULL_SWEEP_INTERVAL_MS:
+            return False
+        self._full_swept_at = now
+        for tag, customer in list(self.by_tag.items()):
+            if customer.is_unused(now):
+                del self.by_tag[tag]
+        return len(self.by_tag) < self.max_customers
--- a/mapleshunt/policy/gateway.py
+++ b/mapleshunt/policy/gateway.py
@@ -120,7 +120,8 @@
             case QuotaLeaseGranted(name, plan, lease_id, units, expires_at):
                 plan_code = self.customers.plan_names.index(plan)
                 customer = self.customers.get_or_add(tag_of(name), plan_code, now)
-                customer.leases.grant(lease_id, units, expires_at, now)
+                if customer is not None:
+                    customer.leases.grant(lease_id, units, expires_at, now)
             case ResponseStarted(request_id) if request_id in self.requests.open:
                 self.requests.open[request_id].response_started = True
         self.timers.run_due_timers(now)  # at every event, as the host's timer may be late
--- a/mapleshunt/policy/quota_owner.py
+++ b/mapleshunt/policy/quota_owner.py
@@ -32,6 +32,8 @@
         plan_count = len(self._customers.plan_names)
         code, weight = entry.code % plan_count, 1 << min(MAX_THINNING, entry.code // plan_count)
         customer = self._customers.get_or_add(entry.customer_tag, code, now)
+        if customer is None:
+            return  # the member decides without this owner's reply
         bucket, kind = customer.bucket, EntryKind.LEVEL
         level, burst = bucket.refill(now), max(bucket.burst, MIN_BURST_UNITS)
         if entry.kind != EntryKind.ASK:
--- a/mapleshunt/server/gateway_server.py
+++ b/mapleshunt/server/gateway_server.py
@@ -264,6 +264,7 @@
             shares = 2
         plan = plan_memory(memory_bytes, self.memory_at_rest_bytes, budget.usable(processes), shares)
         self.memory.limit_bytes, self._usable_bytes = plan.budget_bytes, plan.usable_bytes
+        self.driver.gateway.customers.max_customers = plan.max_customers
         budget.divide(processes, plan.max_connections)
 
     def observe_memory(self) -> None:
--- a/tests/policy/test_customers.py
+++ b/tests/policy/test_customers.py
@@ -4,8 +4,11 @@
 
 from mapleshunt import (
     Plan,
+    RejectRequest,
     StartAttempt,
 )
+from mapleshunt.policy.actions import RejectReason
+from mapleshunt.policy.customers import FULL_SWEEP_INTERVAL_MS
 from mapleshunt.policy.gossip_codec import (
     tag_of,
 )
@@ -64,3 +67,29 @@
             gateway.advance(1000)
         admitted_later = admitted("usual")
     assert admitted_later < len(gateways) / 4  # a customer at 25 times its quota does not stay admitted
+
+
+def test_ever_new_customers_are_bounded_and_none_whose_quota_is_in_use_is_forgotten() -> None:
+    # 13,600 names of one crowd took a gateway of 32 MB over its limit.
+    driver = Driver()
+    customers = driver.gateway.customers
+    customers.max_customers = 100
+    for _ in range(4):
+        driver.request(plan="thin", customer="spent")
+    rejections = [
+        action
+        for number in range(300)
+        for action in driver.request(plan="thin", customer=f"n{number}")
+        if isinstance(action, RejectRequest)
+    ]
+    assert len(customers.by_tag) == 100 and len(rejections) == 201
+    assert {rejection.reason for rejection in rejections} == {RejectReason.TOO_MANY_CUSTOMERS}
+    assert tag_of("spent") in customers.by_tag
+    for started in [action for action in driver.actions if isinstance(action, StartAttempt)]:
+        driver.end_attempt(started)
+    driver.advance(1000 + FULL_SWEEP_INTERVAL_MS)  # one unit is refilled: all but the spent one are as new
+    assert not any(
+        isinstance(action, RejectRequest) for action in driver.request(plan="thin", customer="later")
+    )
+    assert tag_of("spent") in customers.by_tag and tag_of("later") in customers.by_tag
+    assert len(customers.by_tag) <= 100
--- a/tests/policy/test_quota_check.py
+++ b/tests/policy/test_quota_check.py
@@ -206,6 +206,7 @@
         customer = driver.gateway.customers.customer_of(
             RequestReceived(0, "look", "thin", "c", 900.0, 1.0, set_size, 5), driver.now
         )
+        assert customer is not None
         customer.owner_replied_at = driver.now
         actions = driver.request(plan="thin", customer="c", gateway_set_size=set_size)
         return not started_attempts(actions)
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -296,6 +296,7 @@
 def test_restored_warm_state_accounts_for_the_time_since_its_capture() -> None:
     original = decisions(1000.0)
     customer = original.customers.get_or_add(tag_of("c"), original.customers.plan_names.index("thin"), 1000.0)
+    assert customer is not None
     customer.bucket.level, customer.bucket.updated_at = 1.5, 1000.0
     (
         original.endpoints.by_number[2].ejected_until,
@@ -322,6 +323,7 @@
     # A step of the wall clock between the two starts made the warm state too old, or refilled its buckets.
     original = decisions(1e12)
     customer = original.customers.get_or_add(tag_of("c"), original.customers.plan_names.index("thin"), 1e12)
+    assert customer is not None
     customer.bucket.level, customer.bucket.updated_at = 1.5, 1e12
     original.endpoints.by_number[2].ejected_until = 1e12 + 700
     restored = decisions(1e12 + step + 200)
