--- a/mapleshunt/net/client/connection.py
+++ b/mapleshunt/net/client/connection.py
@@ -294,7 +294,11 @@
 
     def _process_command(self, words: list[memoryview], size: int) -> None:
         self.command_count += 1
-        if not self._handle_command(words, size, self._command_arrived_at(), self._has_memory(size)):
+        arrived_at = self._command_arrived_at()
+        if self._has_left(arrived_at):
+            self.close(ClientCloseReason.CLIENT_CLOSED)
+            return
+        if not self._handle_command(words, size, arrived_at, self._has_memory(size)):
             self.unacceptable_count += 1
             if self.unacceptable_count == limits.MAX_UNACCEPTABLE_COMMANDS:
                 raise resp.ProtocolError("too many commands that cannot be served")
@@ -315,6 +319,14 @@
             self.arrivals.popleft()
         return self.arrivals[0][1] if self.arrivals else self.loop.time()
 
+    def _has_left(self, arrived_at: float) -> bool:
+        """Return whether the client has closed its side after a command that waited since `arrived_at`.
+
+        A close is seen in the reading, but the task may read it only after the commands before it.
+        """
+        has_waited = self.loop.time() - arrived_at > limits.HANG_UP_CHECK_INTERVAL_S
+        return has_waited and socket_state.has_hung_up(self._raw_socket())
+
     def _has_memory(self, size: int) -> bool:
         """Return whether there is memory for a command of `size` bytes that has been read.
 
