Take no request of an id again while the attempt of a client that left may still run

Cause: the id was forgotten as soon as the client had left, while its attempt could still run at an endpoint. Fix: the ids of such requests are kept until their time is over (at most 4,096; a request of which nothing was sent may come again at once).

--- a/mapleshunt/net/client/connections.py
+++ b/mapleshunt/net/client/connections.py
@@ -15,6 +15,7 @@
 from ..memory import MemoryBudget
 from ..policy_driver import PolicyDriver
 from ..reasons import ClientCloseReason
+from ..request.client_ids import ClientRequestIds
 from . import limits
 from .connection import ClientConnection
 from .read_grants import ReadGrants
@@ -51,7 +52,7 @@
         # process would accept replies to requests of its previous incarnation.
         self.request_ids: Iterator[int] = itertools.count(random.Random(seed).getrandbits(REQUEST_ID_BITS))
         self.connections: dict[ClientConnection, None] = {}  # oldest first
-        self.open_client_ids: set[str] = set()  # client request IDs that await a response
+        self.client_ids = ClientRequestIds()
         self.is_ready: Callable[[], bool] = lambda: True
         self.lingering_count = 0  # connections that only wait for the client to close
         # Seconds on the loop's clock: every request received from now on gets its response before then.
--- a/mapleshunt/net/client/requests.py
+++ b/mapleshunt/net/client/requests.py
@@ -12,6 +12,7 @@
 from ..policy_driver import PolicyDriver
 from ..protocol import command_protocol
 from ..request.admit import admit
+from ..request.client_ids import ClientRequestIds
 from ..request.context import RequestContext
 from ..request.parse import parse
 from . import limits
@@ -26,7 +27,7 @@
     counters: Counters
     max_open_requests: int
     request_ids: Iterator[int]
-    open_client_ids: set[str]
+    client_ids: ClientRequestIds
     final_deadline: float
     drain_stage: DrainStage
 
@@ -43,7 +44,7 @@
     driver = registry.driver
     parsed = _deduct_wait(command_protocol.parse_request(words), arrived_at, now, registry.final_deadline)
     request_id = next(registry.request_ids)
-    return parse(parsed, sink, driver.settings, request_id, driver.now(), registry.open_client_ids)
+    return parse(parsed, sink, driver.settings, request_id, driver.now(), registry.client_ids)
 
 
 def _deduct_wait(
--- /dev/null
+++ b/mapleshunt/net/request/client_ids.py
@@ -0,0 +1,44 @@
+"""The ids that clients give their requests, as long as a second request of the same id would run twice."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+# Ids kept of clients that have left: the oldest falls out beyond. 4,096 take some 0.6 MB.
+MAX_KEPT_IDS = 4096
+
+
+class ClientRequestIds:
+    """Ids of requests that await a response, and of those whose client left while they may still run."""
+
+    __slots__ = ("_kept_until", "_open")
+
+    def __init__(self) -> None:
+        """Start without ids."""
+        self._open: set[str] = set()
+        self._kept_until: OrderedDict[str, float] = OrderedDict()  # ms on the driver's clock
+
+    def __len__(self) -> int:
+        """Return the number of requests that await a response."""
+        return len(self._open)
+
+    def is_in_use(self, request_id: str, now: float) -> bool:
+        """Return whether a request of this id may run; `now` is ms on the driver's clock."""
+        return request_id in self._open or self._kept_until.get(request_id, now) > now
+
+    def add(self, request_id: str) -> None:
+        """Add the id of a request that awaits a response."""
+        self._open.add(request_id)
+
+    def discard(self, request_id: str) -> None:
+        """Remove the id of a request that has its response, or whose client has left."""
+        self._open.discard(request_id)
+
+    def keep(self, request_id: str, until: float, now: float) -> None:
+        """Keep the id of a request whose client has left until its time is over, in ms."""
+        self._kept_until[request_id] = until
+        self._kept_until.move_to_end(request_id)
+        while len(self._kept_until) > MAX_KEPT_IDS or next(iter(self._kept_until.values())) <= now:
+            self._kept_until.popitem(last=False)
+            if not self._kept_until:
+                return
--- a/mapleshunt/net/request/context.py
+++ b/mapleshunt/net/request/context.py
@@ -8,9 +8,10 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from ...policy import RequestReceived
+from ...policy import RequestReceived, events
 from ..messages import RequestMessage, ResponseSink
 from ..reasons import AttemptStatus, RequestResult, UpstreamCloseReason
+from .client_ids import ClientRequestIds
 
 
 class AttemptConnection(Protocol):
@@ -59,7 +60,7 @@
     response_sink: ResponseSink
     received_at: float  # ms on the driver's clock
     client_request_id: str = ""
-    open_client_ids: set[str] = field(default_factory=set)  # of all requests that await a response
+    client_ids: ClientRequestIds = field(default_factory=ClientRequestIds)  # of all requests
     attempts: list[Attempt] = field(default_factory=list)
     deadline_timer: asyncio.TimerHandle | None = None
     awaiting_response: bool = True
@@ -72,13 +73,17 @@
         """Return when the client stops waiting, in ms on the driver's clock."""
         return self.received_at + self.request.remaining_time
 
+    def may_still_run(self) -> bool:
+        """Return whether an attempt has been made that may run, or has run."""
+        return any(attempt.status not in events.NEVER_RAN for attempt in self.attempts)
+
     def claim_response(self) -> bool:
         """Claim the right to send the final response; return False if it was claimed before."""
         was_awaiting = self.awaiting_response
         self.awaiting_response = False
         self.message = None
         if was_awaiting:
-            self.open_client_ids.discard(self.client_request_id)
+            self.client_ids.discard(self.client_request_id)
             self.response_claimed_at = time.monotonic()
         if self.deadline_timer is not None:
             self.deadline_timer.cancel()
--- a/mapleshunt/net/request/parse.py
+++ b/mapleshunt/net/request/parse.py
@@ -4,6 +4,7 @@
 
 from ...policy import RequestClass, RequestReceived, Settings
 from ..messages import ParsedRequest, ResponseSink
+from .client_ids import ClientRequestIds
 from .context import RequestContext
 
 
@@ -17,7 +18,7 @@
     settings: Settings,
     request_id: int,
     now: float,
-    open_client_ids: set[str],
+    client_ids: ClientRequestIds,
 ) -> RequestContext:
     """Return the context of a request.
 
@@ -27,7 +28,7 @@
         settings: the classes, plans and limits that it is checked against.
         request_id: identifies it to the policy.
         now: ms on the driver's clock.
-        open_client_ids: client request IDs of the open requests; its own is added.
+        client_ids: client request IDs that are in use; its own is added.
 
     Raises:
         UnacceptableRequestError: the settings do not allow the request, or a request with its client request
@@ -37,7 +38,7 @@
     if request_class is None:
         raise UnacceptableRequestError("unknown class")
     _check(parsed, request_class, settings)
-    if parsed.request_id in open_client_ids:
+    if client_ids.is_in_use(parsed.request_id, now):
         raise UnacceptableRequestError("a request of this id is open")
     request = RequestReceived(
         request_id=request_id,
@@ -50,9 +51,9 @@
         gateway_set_offset=parsed.gateway_set_offset,
         is_retry=parsed.is_retry,
     )
-    open_client_ids.add(parsed.request_id)
+    client_ids.add(parsed.request_id)
     return RequestContext(
-        request_id, request, parsed.message, response_sink, now, parsed.request_id, open_client_ids
+        request_id, request, parsed.message, response_sink, now, parsed.request_id, client_ids
     )
 
 
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -370,7 +370,7 @@
         assert context.claim_response()
         await run_pending_callbacks()
         assert client_end.recv(100) == b"-BUSY 5\r\n-ERR a request of this id is open\r\n"
-        assert not connection.registry.open_client_ids
+        assert not connection.registry.client_ids
 
     run_steps(steps)
 
