--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -540,3 +540,52 @@
         return [result]
 
     assert [attempt_result.status for attempt_result in run_steps(steps)] == [status]
+
+
+def endpoint_at(name: str, port: int, started_at_ms: float = 0.0, state: Any = "ready") -> Endpoint:
+    return Endpoint(name, ("127.0.0.1", port), "", 0, state, started_at_ms)
+
+
+@pytest.mark.parametrize("started_at_ms", [0.0, 5000.0])
+@pytest.mark.parametrize("kind", ["partial", "complete"])
+def test_process_at_the_address_of_one_that_is_still_listed_is_not_taken_for_it(
+    kind: Any, started_at_ms: float
+) -> None:
+    async def run() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+            older, newer = endpoint_at("s-old", port), endpoint_at("s-new", port, started_at_ms)
+            group = EndpointGroup(Counters(), 250, 1000, 10)
+            group.apply_endpoint_list("complete", [older])
+            connection = group.new_connection(older.number)
+            await connection.connect()
+            group.release(connection)
+            update = group.apply_endpoint_list(kind, [newer] if kind == "partial" else [newer, older])
+            states = {info.endpoint: info.state for info in update.endpoints}
+            assert states == {older.number: "gone", newer.number: "ready"}
+            assert group.may_send(newer.number) and not group.may_send(older.number)
+            assert connection not in group.connections
+            moved = endpoint_at("s-old", port + 1)
+            update = group.apply_endpoint_list("partial", [moved])
+            assert group.may_send(moved.number) and {info.state for info in update.endpoints} == {"ready"}
+            group.close()
+
+    asyncio.run(run())
+
+
+def test_dial_begun_before_its_address_was_reused_carries_no_attempt() -> None:
+    async def run() -> None:
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            port = listener.getsockname()[1]
+            older, newer = endpoint_at("s-old", port), endpoint_at("s-new", port, 5000.0)
+            group = EndpointGroup(Counters(), 250, 1000, 10)
+            group.apply_endpoint_list("complete", [older])
+            connection = group.new_connection(older.number)
+            await connection.connect()
+            group.apply_endpoint_list("partial", [newer])
+            assert not group.is_current(connection)
+            group.release(connection)
+            assert connection not in group.connections
+            group.close()
+
+    asyncio.run(run())
