Send nothing to an endpoint at whose address another process has come up

Cause: connections and dials were tied to an id; that its address had gone to another id counted only once the list had dropped the old one. Fix: an address has one process, the one that started last or was listed last; an endpoint that lost its address is gone for the policy (its attempts migrate), its idle connections are closed, and a dial under way carries nothing.

--- a/mapleshunt/net/upstream/connection.py
+++ b/mapleshunt/net/upstream/connection.py
@@ -51,16 +51,30 @@
 
 @dataclass(slots=True, eq=False)
 class EndpointPool:
-    """An endpoint and the idle connections to it."""
+    """An endpoint and the idle connections to it.
+
+    Attributes:
+        endpoint: The endpoint as listed last.
+        idle: Its idle connections, the most recently used last.
+        listed_as: Number of the update in which its process, by address and start, was first listed.
+        is_replaced: Whether another process has come up at its address since then.
+    """
 
     endpoint: Endpoint
-    idle: list[UpstreamConnection] = field(default_factory=list)  # the most recently used last
+    idle: list[UpstreamConnection] = field(default_factory=list)
+    listed_as: int = 0
+    is_replaced: bool = False
 
     @property
     def address(self) -> Address:
         """Return the endpoint's address in the current endpoint list."""
         return self.endpoint.address
 
+    def came_before(self, other: EndpointPool) -> bool:
+        """Return whether this endpoint's process is older than the other's, as far as the lists tell."""
+        own_start, other_start = self.endpoint.started_at_ms, other.endpoint.started_at_ms
+        return (own_start, self.listed_as) < (other_start, other.listed_as)
+
 
 class UpstreamConnection:
     """A connection to an endpoint, from the creation of its socket to its close."""
--- a/mapleshunt/net/upstream/endpoint_group.py
+++ b/mapleshunt/net/upstream/endpoint_group.py
@@ -5,7 +5,8 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
-from ...policy import EndpointInfo, EndpointUpdate, UpdateKind
+from ...policy import EndpointInfo, EndpointState, EndpointUpdate, UpdateKind
+from ..config import Address
 from ..counters import Counters
 from ..memory import MemoryBudget
 from ..reasons import UpstreamCloseReason
@@ -54,6 +55,7 @@
         self.connections: set[UpstreamConnection] = set()
         self.reduced_max_idle_s = idle_timeout_ms / 1000
         self.reduced_at = 0.0  # s, on the loop's clock
+        self._updates = 0  # lists and changes of it that were applied
 
     # The endpoint list
 
@@ -70,26 +72,57 @@
             endpoints: the endpoints that discovery sent.
             age: returns for how many ms an endpoint started at a Unix time, in ms, is up; None if unknown.
         """
+        self._updates += 1
         for endpoint in endpoints:
-            pool = self.pools.setdefault(endpoint.number, EndpointPool(endpoint))
-            is_same = pool.endpoint.is_same_process(endpoint)
-            pool.endpoint = endpoint
-            if not is_same:
+            pool = self.pools.setdefault(endpoint.number, EndpointPool(endpoint, listed_as=self._updates))
+            if not pool.endpoint.is_same_process(endpoint):
+                pool.listed_as = self._updates
                 _close_idle(pool, UpstreamCloseReason.ENDPOINT_REPLACED)
+            pool.endpoint = endpoint
         self._remove_unlisted(kind, endpoints)
+        listed = {endpoint.number: endpoint for endpoint in endpoints}
+        listed.update({pool.endpoint.number: pool.endpoint for pool in self._mark_replaced()})
         entries = tuple(
             EndpointInfo(
                 entry.number,
                 entry.zone,
                 entry.cell,
-                entry.state,
+                self._state(entry),
                 entry.started_at_ms,
                 age(entry.started_at_ms),
             )
-            for entry in endpoints
+            for entry in listed.values()
         )
         return EndpointUpdate(kind, entries)
 
+    def _state(self, endpoint: Endpoint) -> EndpointState:
+        pool = self.pools.get(endpoint.number)
+        return "gone" if pool is not None and pool.is_replaced else endpoint.state
+
+    def _mark_replaced(self) -> list[EndpointPool]:
+        """Mark endpoints at whose address another process has come up, and return those that changed.
+
+        An address has one process: the one that started last, or else was listed last. The list may still
+        have the other one.
+        """
+        latest: dict[Address, EndpointPool] = {}
+        for pool in self.pools.values():
+            other = latest.setdefault(pool.address, pool)
+            if (pool.endpoint.started_at_ms, pool.listed_as) > (
+                other.endpoint.started_at_ms,
+                other.listed_as,
+            ):
+                latest[pool.address] = pool
+        changed = []
+        for pool in self.pools.values():
+            is_replaced = latest[pool.address] is not pool
+            if is_replaced != pool.is_replaced:
+                pool.is_replaced = is_replaced
+                changed.append(pool)
+            if is_replaced:
+                _close_idle(pool, UpstreamCloseReason.ENDPOINT_REPLACED)
+        return changed
+
     def _remove_unlisted(self, kind: UpdateKind, endpoints: Sequence[Endpoint]) -> None:
         """Remove endpoints that are gone or unlisted: new ones have new ids, so the pools would grow."""
         listed = {endpoint.number for endpoint in endpoints}
@@ -101,7 +134,7 @@
     def may_send(self, number: int) -> bool:
         """Return whether the list has the endpoint as ready for new requests."""
         pool = self.pools.get(number)
-        return pool is not None and pool.endpoint.state == "ready"
+        return pool is not None and pool.endpoint.state == "ready" and not pool.is_replaced
 
     # Connections
 
@@ -152,7 +185,8 @@
     def is_current(self, connection: UpstreamConnection) -> bool:
         """Return whether the connection's endpoint is still listed with the same address and start."""
         pool, endpoint = connection.pool, connection.endpoint
-        return pool.endpoint.is_same_process(endpoint) and self.pools.get(endpoint.number) is pool
+        is_listed = self.pools.get(endpoint.number) is pool and not pool.is_replaced
+        return is_listed and pool.endpoint.is_same_process(endpoint)
 
     def release(self, connection: UpstreamConnection) -> None:
         """Return a connection to its pool after an attempt, or close it if it is no longer current."""
