--- a/mapleshunt/net/client/connection.py
+++ b/mapleshunt/net/client/connection.py
@@ -181,13 +181,15 @@
     def give_way(self) -> bool:
         """End the connection because its command does not come; return whether it was ended.
 
-        It is closed at once: while it lingered, it would keep its buffer.
+        One that was answered nothing yet is closed at once: while it lingered, it would keep its buffer.
         """
         is_owed_nothing = not (self.slots or self.closing or self.pause_reason or self.output.is_writing())
         if not is_owed_nothing or not self.has_partial_command() or self._has_new_input():
             return False
-        self._write([INCOMPLETE_COMMAND_REPLY])
-        self.close(ClientCloseReason.INCOMPLETE_COMMAND)
+        if self.output.last_write_at:
+            self._reply_and_close(INCOMPLETE_COMMAND_REPLY, ClientCloseReason.INCOMPLETE_COMMAND)
+        else:
+            self.close(ClientCloseReason.INCOMPLETE_COMMAND)
         return True
 
     def _begin_skip(self) -> None:
@@ -454,6 +456,14 @@
         """Return whether a command is partly read, or partly discarded."""
         return self.buffer.start != self.buffer.end or self.skipped is not None
 
+    def is_stalled(self, now: float) -> bool:
+        """Return whether no byte has come for `STALL_TIMEOUT_S`; `now` is s on the loop's clock."""
+        return now - self.last_read_at >= limits.STALL_TIMEOUT_S
+
+    def is_slow(self, now: float) -> bool:
+        """Return whether a partly read command is stalled, or takes long; `now` is s on the loop's clock."""
+        return self.is_stalled(now) or now - self.command_started_at >= limits.CROWDED_COMMAND_TIMEOUT_S
+
     def _must_end(self) -> bool:
         return self.registry.drain_stage >= DrainStage.FORCE_END
 
--- a/mapleshunt/net/client/connections.py
+++ b/mapleshunt/net/client/connections.py
@@ -123,29 +123,26 @@
             if now - connection.last_activity_at >= idle_s
         )
 
-    def end_unfinished(self, count: int) -> int:
+    def end_unfinished(self, count: int, at_once: bool = False) -> int:
         """End up to `count` connections whose command is not complete, to make room for others.
 
-        Those come first whose bytes do not come, then those whose command was begun first. Returns how many
-        were ended.
+        Those come first whose bytes do not come, then those whose command was begun first. Commands that were
+        begun just now are left, unless `at_once` is set. Returns how many were ended.
         """
         now = asyncio.get_running_loop().time()
         unfinished = [
-            (now - connection.last_read_at < limits.STALL_TIMEOUT_S, connection.command_started_at, number)
-            for number, connection in enumerate(self.connections)
-            if connection.has_partial_command()
-            and (
-                now - connection.last_read_at >= limits.STALL_TIMEOUT_S
-                or now - connection.command_started_at >= limits.CROWDED_COMMAND_TIMEOUT_S
-            )
+            connection
+            for connection in self.connections
+            if connection.has_partial_command() and (at_once or connection.is_slow(now))
         ]
-        unfinished.sort()
-        connections = list(self.connections)
+        unfinished.sort(
+            key=lambda connection: (not connection.is_stalled(now), connection.command_started_at)
+        )
         ended = 0
-        for _, _, number in unfinished:
+        for connection in unfinished:
             if ended >= count:
                 break
-            ended += connections[number].give_way()
+            ended += connection.give_way()
         self.counters.add("unfinished_commands_ended", ended)
         return ended
 
--- a/mapleshunt/net/client/listener.py
+++ b/mapleshunt/net/client/listener.py
@@ -5,6 +5,7 @@
 import asyncio
 import enum
 import errno
+import select
 import socket
 from collections.abc import Callable
 
@@ -21,6 +22,7 @@
 MIN_ACCEPT_RETRY_DELAY_S = 0.001
 MAX_ACCEPT_RETRY_DELAY_S = 0.1
 BACKLOG_RETRY_DELAY_S = 0.01  # the same pause while the backlog is drained before the listener closes
+FULL_TIMEOUT_S = 0.3  # how long queued connections wait then for a place among those that are open
 BACKLOG_TIMEOUT_S = 1.0  # limit on draining the backlog before the listener closes
 # A burst of connections must not delay requests of others; nor must new ones wait while turns take long, each
 # with a command of hundreds of connections.
@@ -96,19 +98,31 @@
         self.running, self.retry_timer = False, None
 
     async def accept_backlog(self, has_capacity: Callable[[], bool]) -> None:
-        """Accept the queued connections while there is capacity; closing the listener resets the others.
+        """Accept the queued connections; closing the listener resets the others.
 
-        A lack of resources is retried for up to `BACKLOG_TIMEOUT_S`. Cancelling leaves the others queued.
+        A lack of capacity is retried for up to `FULL_TIMEOUT_S`, one of resources for `BACKLOG_TIMEOUT_S`.
+        Cancelling leaves the others queued.
         """
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + BACKLOG_TIMEOUT_S
-        while has_capacity() and loop.time() < deadline:
+        deadline, full_deadline = loop.time() + BACKLOG_TIMEOUT_S, loop.time() + FULL_TIMEOUT_S
+        while loop.time() < deadline:
+            if not has_capacity():
+                if loop.time() >= full_deadline or not self.has_queued():
+                    return
+                await asyncio.sleep(BACKLOG_RETRY_DELAY_S)
+                continue
             result = self.accept()
             if result is AcceptResult.EMPTY:
                 return
             if result is AcceptResult.NO_RESOURCES:
                 await asyncio.sleep(BACKLOG_RETRY_DELAY_S)
 
+    def has_queued(self) -> bool:
+        """Return whether a connection waits to be accepted."""
+        poller = select.poll()
+        poller.register(self.listener.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
     def accept(self) -> AcceptResult:
         """Accept the next connection and pass it to `on_accept`."""
         try:
--- a/mapleshunt/server/client_admission.py
+++ b/mapleshunt/server/client_admission.py
@@ -132,12 +132,17 @@
             acceptor.stop()
 
     async def accept_backlog(self) -> None:
-        """Accept the connections that the kernel has queued, while there is capacity or an idle one to evict.
+        """Accept the connections that the kernel has queued, in place of idle and unfinished ones.
 
         Cancelling it leaves the others in the backlog.
         """
         for acceptor in self.acceptors:
-            await acceptor.accept_backlog(lambda: self.has_capacity() or self.connections.evict_idle())
+            await acceptor.accept_backlog(self._has_room_for_backlog)
+
+    def _has_room_for_backlog(self) -> bool:
+        if self.has_capacity() or self.connections.evict_idle():
+            return True
+        return self.connections.end_unfinished(MAX_ACCEPTS_PER_TURN, at_once=True) > 0
 
     def close_listeners(self) -> None:
         """Stop accepting and close the sockets. Connections queued on an unshared socket are reset."""
--- a/mapleshunt/server/descriptor_budget.py
+++ b/mapleshunt/server/descriptor_budget.py
@@ -9,6 +9,7 @@
 RESERVED_DESCRIPTORS = 32  # for the log, the event loop, the listener, discovery and gossip
 MIN_USABLE_DESCRIPTORS = 16  # divided even if the limit leaves fewer
 UPSTREAM_FRACTION = 0.4  # of the usable descriptors that connections to endpoints may take
+SCARCE_FRACTION = 0.25  # the same where the memory allows fewer connections than the descriptors
 UNLIMITED_DESCRIPTORS = 1 << 20  # stands for an infinite system limit
 
 
@@ -50,7 +51,7 @@
         usable = self.usable(processes)
         if max_connections is not None:
             usable = min(usable, max_connections)
-        upstream = int(usable * UPSTREAM_FRACTION)
+        upstream = int(usable * (UPSTREAM_FRACTION if usable == self.usable(processes) else SCARCE_FRACTION))
         self.max_clients = usable - upstream
         # Normal traffic needs a third of the limit at most. Idle connections are evicted well before that.
         self.eviction_threshold = min(self._limit // (5 * processes), self.max_clients // 2)
--- a/mapleshunt/testbed/crowds/run.py
+++ b/mapleshunt/testbed/crowds/run.py
@@ -5,7 +5,6 @@
 import asyncio
 import signal
 import subprocess
-import sys
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
@@ -20,6 +19,7 @@
 from ..pipelines.backends import LongValueBackend
 from ..pipelines.parameters import PipelineParameters
 from ..pipelines.run import gateway_config
+from .crowd_process import CROWD_END_S, start_crowd
 from .parameters import CrowdParameters, Restart
 from .sound_clients import Service, SoundClients
 
@@ -27,7 +27,6 @@
 WORK_MS = 20.0  # of a request, at a backend
 LEAD_S = 3.0  # for which sound requests are sent before the crowd comes, and after it has gone
 SETTLE_S = 1.0  # after the crowd has gone; later requests count as without it
-CROWD_END_S = 10.0  # within which the crowd's process has to end
 RESTART_PAUSE_S = 1.0  # from a kill to the next start
 KILL_AFTER_S = 3.7  # from SIGTERM: the longest deadline, counted as 3 s, and 0.7 s
 FLOOD_SETTLE_S = 10.0  # after which a flood on one connection may not grow the memory any more
@@ -79,11 +78,7 @@
         self._parameters, self._gateway, self._agent = parameters, gateway, agent
         self._older: subprocess.Popen[bytes] | None = None  # beside its successor, in an upgrade
         self._is_down = False  # between a kill and the next start, by this run's own doing
-        self._watch = MemoryWatch(self._process_ids, parameters.memory_mb)
-
-    def _process_ids(self) -> list[int]:
-        processes = [self._gateway.process, self._older]
-        return [process.pid for process in processes if process is not None and process.poll() is None]
+        self._watch = MemoryWatch(gateway.process_ids, parameters.memory_mb)
 
     async def play(self) -> CrowdReport:
         """Play the run. Cancelling it ends the crowd, not the gateway."""
@@ -127,17 +122,8 @@
         parameters = self._parameters
         if parameters.clients == 0:
             return subprocess.Popen(["true"], stdout=subprocess.PIPE)
-        arguments = [
-            self._gateway.port,
-            parameters.kind,
-            parameters.clients,
-            parameters.seconds,
-            parameters.seed,
-        ]
-        return subprocess.Popen(
-            [sys.executable, "-m", "mapleshunt.testbed.crowds.crowd", *map(str, arguments)],
-            cwd=CHECKOUT_ROOT,
-            stdout=subprocess.PIPE,
+        return start_crowd(
+            self._gateway.port, parameters.kind, parameters.clients, parameters.seconds, parameters.seed
         )
 
     async def _watch_memory(self) -> None:
--- a/mapleshunt/testbed/gateway_process.py
+++ b/mapleshunt/testbed/gateway_process.py
@@ -71,6 +71,7 @@
         self.peer_port = free_port(socket.SOCK_DGRAM)
         self.listener: socket.socket | None = None  # that its processes inherit
         self.process: subprocess.Popen[bytes] | None = None
+        self._detached: subprocess.Popen[bytes] | None = None  # the one that was detached last
         self.starts = 0
         self.peak_memory_kb = 0
         self._admin_port = 0  # of the process that was started last, if it inherits the listener
@@ -100,8 +101,14 @@
     def detach(self) -> subprocess.Popen[bytes] | None:
         """Return the running process, which the caller has to end from now on."""
         process, self.process = self.process, None
+        self._detached = process
         return process
 
+    def process_ids(self) -> list[int]:
+        """Return the ids of its processes that run: the last one, and one that was detached before it."""
+        processes = (self.process, self._detached)
+        return [process.pid for process in processes if process is not None and process.poll() is None]
+
     def spawn(self, known_endpoints: Mapping[str, Any]) -> None:
         """Start a process with the endpoint list (JSON) that it uses until discovery answers."""
         self.starts += 1
--- a/mapleshunt/testbed/soak/fault_injection.py
+++ b/mapleshunt/testbed/soak/fault_injection.py
@@ -7,6 +7,8 @@
 from typing import cast
 
 from ...fleet.faults import Fault
+from ..crowds.crowd_process import CROWD_END_S, start_crowd
+from ..crowds.parameters import CrowdKind
 from ..fault_proxy import FaultProxy
 from .backends import Misbehaviour, SoakBackend
 from .clients import SoakClients
@@ -16,6 +18,14 @@
 from .replicas import SoakReplicas
 from .schedule import ScheduledFault
 
+UNFINISHED_CLIENTS = 340  # a third of the descriptors of a gateway with a memory limit
+UNFINISHED_KINDS = (
+    CrowdKind.STOPPED_CLOSING,
+    CrowdKind.STOPPED,
+    CrowdKind.SLOW,
+    CrowdKind.MANY_FIELDS,
+    CrowdKind.MIXED,
+)
 MAX_IDLE_CLIENT_TARGETS = 2  # gateways per fault
 CALLING_IDLE_FRACTION = 0.3  # of the idle clients that send one command
 IDLE_CLIENTS = 150  # that connect to a gateway at once, above its limit of client connections
@@ -214,5 +224,20 @@
                     self.fault_random.uniform(0.0, 0.5), self._open_idle_connection, number, duration_s, calls
                 )
 
+    def _inject_unfinished_clients(self, fault: ScheduledFault) -> None:
+        for number in [target for target in fault.targets if self._is_available(target)][:1]:
+            kind = UNFINISHED_KINDS[int(fault.magnitude * len(UNFINISHED_KINDS))]
+            self._start_task(self._play_crowd(number, kind, fault.duration_s))
+
+    async def _play_crowd(self, number: int, kind: CrowdKind, seconds: float) -> None:
+        """Run a crowd in a process of its own at a gateway, also through its restarts."""
+        seed = self.fault_random.randrange(1 << 30)
+        crowd = start_crowd(self.gateways[number].port, kind, UNFINISHED_CLIENTS, seconds, seed)
+        try:
+            await asyncio.to_thread(crowd.communicate, timeout=seconds + CROWD_END_S)
+        finally:
+            crowd.kill()
+            await asyncio.to_thread(crowd.wait)
+
     def _open_idle_connection(self, number: int, duration_s: float, calls: bool) -> None:
         self._start_task(self._soak_clients.stay_idle(number, duration_s, calls))
--- a/mapleshunt/testbed/soak/fleet.py
+++ b/mapleshunt/testbed/soak/fleet.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import gc
+import os
 import random
 import re
 import resource
@@ -28,7 +29,9 @@
 from ..discovery_agent import DiscoveryAgent
 from ..errors import GatewayError
 from ..fleet import CHECKOUT_ROOT
+from ..gateway_process import GatewayProcess
 from ..maintenance_work import grants_of_two_machines
+from ..memory_watch import MemoryWatch
 from ..ports import HOST
 from ..syscall_faults import SyscallFaultControl, SyscallFaultRates, build_library
 from . import schedule
@@ -49,6 +52,8 @@
 FAULT_FREE_S = 4.0  # of traffic at the end, in which no fault begins
 SETTLE_S = 4.5  # from the close of the last client connection until nothing may be open
 FIRST_INHERITED, INHERITED_STEP = 1, 3  # range of gateways whose listening socket this process holds
+SOCKETS_WITH_MEMORY_LIMIT = 1024
+MEMORY_PAUSE_S = 1.0  # after a kill for memory, until the memory is watched again
 MAX_SOCKETS = 200  # that a gateway's configuration allows it
 FAULTS_END_TIMEOUT_S = 60.0  # for all faults to end once system calls no longer fail
 LAG_SAMPLE_INTERVAL_S = 0.01
@@ -74,8 +79,13 @@
         faults: Sequence[ScheduledFault],
         program: Path,
         replicas: int = 0,
+        memory_mb: int | None = None,
     ) -> None:
-        """Prepare a soak whose first `replicas` gateways hold replicas."""
+        """Prepare a soak whose first `replicas` gateways hold replicas.
+
+        With `memory_mb` each gateway has that limit on memory, over which it is killed.
+        """
+        self._memory_mb = memory_mb
         self.faults = faults
         self.fault_random = random.Random(f"{scenario_run.seed} soak")
         self.terminating, self.kill_times, self.accept_gaps = {}, {}, {}
@@ -98,7 +108,7 @@
             SyscallFaultControl(library, folder / f"faults-{number}", scenario_run.seed * 1000 + number)
             for number in range(count)
         ]
-        super().__init__(scenario_run, folder, program, limits={"sockets": MAX_SOCKETS})
+        super().__init__(scenario_run, folder, program, limits=_limits(memory_mb))
         self.replicas = SoakReplicas(folder, replicas, scenario_run.seed)
         self.spare_agents = [self._agent_from(number, SPARE_AGENT_REVISION) for number in range(count)]
         self.current_agents = list(cast("list[SoakDiscoveryAgent]", self.agents))
@@ -185,6 +195,18 @@
             f"attempts {upstream}",
         )
 
+    async def _watch_memory(self, gateway: GatewayProcess) -> None:
+        """Kill the processes of a gateway over its limit on memory, as a platform does."""
+        while self._memory_mb is not None:
+            watch = MemoryWatch(gateway.process_ids, self._memory_mb)
+            await watch.run()
+            self.record_violation(
+                "memory", f"gateway {gateway.number} used {watch.peak_mb:.1f} of {self._memory_mb} MB"
+            )
+            for process_id in gateway.process_ids():
+                os.kill(process_id, signal.SIGKILL)
+            await asyncio.sleep(MEMORY_PAUSE_S)
+
     # Discovery
 
     def _endpoint_delivered(self, gateway: int, entry: EndpointEntry) -> None:
@@ -228,12 +250,15 @@
             await agent.proxy.start()
         await self.replicas.start()
         lag_measurement = asyncio.create_task(self._measure_lag())
+        watches = [asyncio.create_task(self._watch_memory(gateway)) for gateway in self.gateways]
         try:
             await self.run()
         except GatewayError as error:
             self.record_violation("ended", str(error))
         finally:
             lag_measurement.cancel()
+            for watch in watches:
+                watch.cancel()
             self.injected = [control.counts() for control in self.fault_controls]
             for control in self.fault_controls:
                 control.close()
@@ -334,6 +359,13 @@
         report.crossed = dict(crossed)
 
 
+def _limits(memory_mb: int | None) -> dict[str, float]:
+    """Return the limits of a gateway's configuration: few descriptors, or a limit on memory and many."""
+    if memory_mb is None:
+        return {"sockets": MAX_SOCKETS}
+    return {"sockets": SOCKETS_WITH_MEMORY_LIMIT, "memory_mb": memory_mb}
+
+
 def soak_scenario(
     gateways: int, backends: int, rate: float, seconds: float, deadline_factor: float = 1.0
 ) -> Scenario:
@@ -356,7 +388,7 @@
 
 async def _run_soak(
     seed: int, folder: Path, gateways: int, backends: int, rate: float, seconds: float,
-    only: Sequence[schedule.FaultKind], program: Path, replicas: int,
+    only: Sequence[schedule.FaultKind], program: Path, replicas: int, memory_mb: int | None,
 ) -> SoakReport:  # fmt: skip
     started_at = time.monotonic()
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -371,7 +403,9 @@
         faults = schedule.draw_schedule(seed, seconds - FAULT_FREE_S, gateways, backends, replicas, only)
         if variant.has_crowd:
             faults = schedule.with_crowd(faults, seed, seconds - FAULT_FREE_S, gateways)
-        fleet = SoakFleet(replace(scenario_run, rules=SOAK_RULES), folder, faults, program, replicas)
+        fleet = SoakFleet(
+            replace(scenario_run, rules=SOAK_RULES), folder, faults, program, replicas, memory_mb
+        )
         report = await fleet.soak()
     finally:
         gc.enable()
@@ -390,6 +424,7 @@
     only: Sequence[schedule.FaultKind] = (),
     program: Path = CHECKOUT_ROOT,
     replicas: int = 0,
+    memory_mb: int | None = None,
 ) -> SoakReport:
     """Run a soak and return its report; logs and configurations stay in `folder` if one is given.
 
@@ -405,5 +440,5 @@
         if any(run_folder.iterdir()):
             raise FileExistsError(f"{run_folder} must be empty")
         return uvloop.run(
-            _run_soak(seed, run_folder, gateways, backends, rate, seconds, only, program, replicas)
+            _run_soak(seed, run_folder, gateways, backends, rate, seconds, only, program, replicas, memory_mb)
         )
--- a/mapleshunt/testbed/soak/schedule.py
+++ b/mapleshunt/testbed/soak/schedule.py
@@ -16,7 +16,7 @@
     "backend_spoils", "backend_closes_idle", "backend_forgets", "backend_unreachable", "discovery_down",
     "discovery_resets", "discovery_slow", "discovery_refuses", "peers_cut", "peers_lose", "bad_clients",
     "floods", "resting_clients", "disk_fails", "disk_slow", "links_cut", "links_reset", "roll",
-    "reload_then_term", "term_twice", "term_in_start", "upgrade_then_term",
+    "reload_then_term", "term_twice", "term_in_start", "upgrade_then_term", "unfinished_clients",
 ]  # fmt: skip
 # Relative weights: faults that end or replace processes are among the most frequent.
 FAULT_WEIGHTS: dict[FaultKind, int] = {
@@ -30,13 +30,16 @@
     "floods": 2, "resting_clients": 2, "disk_fails": 6, "disk_slow": 4, "links_cut": 3, "links_reset": 3,
     "roll": 4, "reload_then_term": 2, "term_twice": 2, "term_in_start": 2, "upgrade_then_term": 2,
 }  # fmt: skip
+# Drawn only by name: they need gateways with a memory limit and many descriptors.
+CROWD_WEIGHTS: dict[FaultKind, int] = {"unfinished_clients": 6}
+ALL_WEIGHTS: dict[FaultKind, int] = {**FAULT_WEIGHTS, **CROWD_WEIGHTS}
 REPLICATION_KINDS: tuple[FaultKind, ...] = ("disk_fails", "disk_slow", "links_cut", "links_reset", "roll")
 # These end gateways; fewer are their targets.
 ENDING_KINDS = ("kill", "term", "reload_then_term", "term_twice", "term_in_start", "upgrade_then_term")
 GATEWAY_KINDS: set[str] = {
     *ENDING_KINDS, "upgrade", "reload", "reload_twice", "pause", "clock_step", "calls_fail", "short_io",
     "hold", *HOLD_KINDS, "bad_clients", "floods", "resting_clients", "peers_cut", "discovery_down",
-    "discovery_resets", "discovery_slow", "discovery_refuses", *REPLICATION_KINDS,
+    "discovery_resets", "discovery_slow", "discovery_refuses", *REPLICATION_KINDS, *CROWD_WEIGHTS,
 }  # fmt: skip
 EPISODE_INTERVAL_S = 2.0  # mean, from the start of one episode to the next
 EPISODE_INTERVAL_FACTORS = (0.6, 1.4)  # an interval is the mean times a factor between these
@@ -106,7 +109,7 @@
     """Return two or three different kinds, fewer if `kinds` has fewer."""
     count, drawn = min(len(kinds), rng.choice(EPISODE_FAULT_COUNTS)), list[FaultKind]()
     while len(drawn) < count:
-        kind = rng.choices(kinds, [FAULT_WEIGHTS[candidate] for candidate in kinds])[0]
+        kind = rng.choices(kinds, [ALL_WEIGHTS[candidate] for candidate in kinds])[0]
         if kind not in drawn:
             drawn.append(kind)
     return drawn
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -25,6 +25,12 @@
     "resting_clients", "hold",
 )  # fmt: skip
 
+# Clients that do not finish a command, while processes start and end.
+CROWD_FAULTS: tuple[schedule.FaultKind, ...] = (
+    "unfinished_clients", "term", "kill", "upgrade", "term_twice", "reload_then_term", "upgrade_then_term",
+    "resting_clients",
+)  # fmt: skip
+
 CONNECT_SCRIPT = """
 import socket, sys
 failed = 0
@@ -87,3 +93,13 @@
         program=copy_program(tmp_path, *BROKEN_PROGRAMS[rule]),
     )  # fmt: skip
     assert any(rule in violation for violation in report.violations), report
+
+
+@pytest.mark.parametrize("seed", [2, 5])
+def test_no_gateway_exceeds_its_memory_or_loses_requests_under_unfinished_clients(
+    tmp_path: Path, seed: int
+) -> None:
+    report = soak.run_soak(
+        seed, tmp_path, gateways=4, backends=12, rate=80.0, seconds=16.0, only=CROWD_FAULTS, memory_mb=48
+    )
+    assert report.violations == []
