--- a/mapleshunt/testbed/crowds/crowd.py
+++ b/mapleshunt/testbed/crowds/crowd.py
@@ -119,6 +119,17 @@
         await _exchange(reader, writer, _long_command(rng))
 
 
+async def _ask(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, rng: random.Random) -> None:
+    """Send short queries, one after the answer of the other."""
+    while True:
+        writer.write(draw_command(rng, DEADLINE_MS, 0).encode())
+        line = await reader.readline()
+        if not line:
+            raise ConnectionError("the gateway closed the connection")
+        if line.startswith(b"$"):
+            await reader.readexactly(int(line[1:]) + len(resp.CRLF))
+
+
 async def _send_without_reading(
     _reader: asyncio.StreamReader, writer: asyncio.StreamWriter, rng: random.Random
 ) -> None:
@@ -172,6 +183,7 @@
     CrowdKind.SLOW: _send_slowly,
     CrowdKind.MANY_FIELDS: _send_many_fields,
     CrowdKind.LONG: _send_long,
+    CrowdKind.ASKING: _ask,
     CrowdKind.NOT_READING: _send_without_reading,
     CrowdKind.FLOOD_UNSOUND: _flood_unsound,
     CrowdKind.FLOOD_PINGS: _flood_pings,
--- a/mapleshunt/testbed/crowds/parameters.py
+++ b/mapleshunt/testbed/crowds/parameters.py
@@ -16,6 +16,7 @@
     SLOW = "slow"  # send whole long commands in small pieces
     MANY_FIELDS = "many_fields"  # send a long word of thousands of short fields
     LONG = "long"  # send whole long commands at full speed
+    ASKING = "asking"  # send short queries and read the answers
     NOT_READING = "not_reading"  # send commands, and read no answer
     MIXED = "mixed"  # each client is of one of the kinds above
     # At full speed on a connection that stays open; opened again where the gateway ends it.
--- a/tests/test_crowds.py
+++ b/tests/test_crowds.py
@@ -5,7 +5,7 @@
 import pytest
 
 from mapleshunt.testbed.crowds.parameters import CrowdKind, CrowdParameters
-from mapleshunt.testbed.crowds.run import play
+from mapleshunt.testbed.crowds.run import MAX_MEMORY_FRACTION, play
 
 CROWD_S = 3.0
 
@@ -38,3 +38,13 @@
 @pytest.mark.parametrize("memory_mb", [32, 96])
 def test_commands_of_thousands_of_fields_are_refused_within_the_memory(memory_mb: int) -> None:
     assert play_crowd(CrowdKind.MANY_FIELDS, memory_mb, 340) == []
+
+
+@pytest.mark.xdist_group("gateways")
+def test_long_replies_to_short_requests_stay_within_the_memory() -> None:
+    parameters = CrowdParameters(
+        CrowdKind.ASKING, memory_mb=32, clients=340, seconds=CROWD_S, value_bytes=64000
+    )
+    report = play(parameters)
+    assert not report.has_ended and not report.beside.lost
+    assert report.peak_memory_mb <= MAX_MEMORY_FRACTION * parameters.memory_mb
