Read a long reply only with memory for it, and count it until its client's response holds it

Cause: a reply's buffer counted as released when it was parsed, while the value waited for its attempt's task: a turn of the loop took 100 replies of 64 KiB, and held showed 2.9 MB. Nothing asked the budget before a reply was read, and a stream read 64 KiB ahead. Fix: an endpoint's connection reads a reply longer than its first buffer once there is memory for it and its copy; the value counts until its attempt's task goes on; streams read 2 KiB ahead; the process's memory is observed every 20 ms.

--- a/mapleshunt/net/memory.py
+++ b/mapleshunt/net/memory.py
@@ -19,6 +19,7 @@
 UNLIMITED_COUNT = 1 << 31
 # A response of the longest value with its framing: reserved for each command, whatever its response will be.
 MAX_RESPONSE_BYTES = resp.MAX_VALUE_BYTES + 16
+REPLY_COPIES = 2  # as it is read, and as it is written
 # Objects and timers of an open request, without its message.
 REQUEST_BYTES = 8192
 # What an open connection costs while nothing long is read or written: its objects and its first read buffer.
@@ -154,6 +155,10 @@
         """Reserve `size` bytes; a negative size ends a reservation."""
         self.reserved_bytes += size
 
+    def admits_reply(self, size: int) -> bool:
+        """Return whether a reply may be read into `size` further bytes, and copied for its client."""
+        return REPLY_COPIES * size <= self.free_bytes()
+
     def admits_long(self, size: int) -> bool:
         """Return whether a connection may read a command of `size` bytes, longer than its first buffer.
 
--- a/mapleshunt/net/protocol/resp.py
+++ b/mapleshunt/net/protocol/resp.py
@@ -189,6 +189,27 @@
     return _parse_sized(data, line_end + 2, end, type_byte, number, depth)
 
 
+def value_end(data: bytearray, start: int, end: int) -> int | None:
+    """Return where the value of an incomplete reply ends, which it may have alone or as its first item.
+
+    Returns:
+        None as long as its length is not known, or if it has no value.
+
+    Raises:
+        ProtocolError: its length is malformed.
+    """
+    for _ in range(MAX_ARRAY_DEPTH):
+        line_end = _find_line_end(data, start + 1, end) if start < end else -1
+        if line_end < 0:
+            return None
+        if data[start] == BULK_TYPE:
+            return line_end + 2 + max(0, _parse_integer(data, start + 1, line_end)) + 2
+        if data[start] != ARRAY_TYPE:
+            return None
+        start = line_end + 2
+    return None
+
+
 def _parse_sized(
     data: bytearray, start: int, end: int, type_byte: bytes, size: int, depth: int
 ) -> tuple[Reply, int] | None:
--- a/mapleshunt/net/upstream/connection.py
+++ b/mapleshunt/net/upstream/connection.py
@@ -22,7 +22,7 @@
 from ..memory import MemoryBudget
 from ..messages import AttemptResult
 from ..protocol import command_protocol, resp
-from ..protocol.read_buffer import MessageTooLongError, ReadBuffer
+from ..protocol.read_buffer import CHUNK_BYTES, MessageTooLongError, ReadBuffer
 from ..reasons import AttemptStatus, UpstreamCloseReason
 from .dial import dial_error
 from .endpoint import Endpoint
@@ -30,6 +30,7 @@
 
 # Time without a new byte after which an incomplete reply is rejected, early enough for a retry.
 REPLY_STALL_TIMEOUT_S = 0.1
+MEMORY_POLL_S = 0.005  # between two looks for the memory of a long reply
 # A reused connection that ends this soon after a command counts as closed by the endpoint before it.
 STALE_RESET_WITHIN_S = 0.02
 CLOSED_BY_ENDPOINT = (UpstreamCloseReason.ENDPOINT_CLOSED, UpstreamCloseReason.ENDPOINT_RESET)
@@ -87,9 +88,12 @@
         """
         self.pool, self.endpoint, self.group = pool, pool.endpoint, group
         family = address_family(pool.address)
-        self.stream = IOStream(socket.socket(family), max_buffer_size=MAX_STREAM_BUFFER_BYTES)
+        self.stream = IOStream(
+            socket.socket(family), max_buffer_size=MAX_STREAM_BUFFER_BYTES, read_chunk_size=CHUNK_BYTES
+        )
         self.buffer = ReadBuffer(resp.MAX_MESSAGE_BYTES, group.memory.hold)
         self.pending_result: asyncio.Future[AttemptResult] | None = None
+        self.value_bytes = 0  # of a reply that its attempt's task has not taken yet
         self.attempts = 0
         self.close_reason: UpstreamCloseReason | None = None
         self.idle_since = 0.0  # s, on the loop's clock
@@ -175,6 +179,12 @@
             raise ConnectionLostError(was_written) from None
         finally:
             self.pending_result = None
+            self._hold_value(0)
+
+    def _hold_value(self, size: int) -> None:
+        """Count a value of `size` bytes until its attempt's task goes on and responds with it."""
+        self.group.memory.hold(size - self.value_bytes)
+        self.value_bytes = size
 
     def _hold_until_done(self, written: asyncio.Future[None], size: int) -> None:
         memory = self.group.memory
@@ -204,6 +214,7 @@
         reason = UpstreamCloseReason.ENDPOINT_CLOSED
         try:
             while True:
+                await self._make_room()
                 await self.buffer.fill(self.stream)
                 self._process_reply()
         except StreamClosedError as closed:
@@ -218,6 +229,24 @@
             log.log_exception("server_connection_exception", server=self.pool.endpoint.id)
         self.close(reason)
 
+    async def _make_room(self) -> None:
+        """Make room for a reply whose length is known, and wait until there is memory for it.
+
+        Until then it is not read, and TCP holds the endpoint back; the attempt's deadline ends the wait.
+        """
+        buffer = self.buffer
+        value_end = resp.value_end(buffer.data, buffer.start, buffer.end)
+        if value_end is None or value_end <= len(buffer.data):
+            return
+        size = min(buffer.max_bytes, value_end - buffer.start + CHUNK_BYTES)
+        if not self.group.memory.admits_reply(size):
+            self._stop_stall_timer()
+            self.group.counters.add("replies_waited_for_memory")
+        while not (self.group.memory.admits_reply(size) or self.stream.closed()):  # noqa: ASYNC110 - see below
+            # Memory is released at every response, and none of those that wait has to be the first.
+            await asyncio.sleep(MEMORY_POLL_S)
+        buffer.make_room(size)
+
     def _process_reply(self) -> None:
         parsed = resp.parse_reply(self.buffer.data, self.buffer.start, self.buffer.end)
         if self.pending_result is None or self.pending_result.done():
@@ -227,7 +256,9 @@
             return
         self.buffer.consume(parsed[1])
         self._stop_stall_timer()
-        self.pending_result.set_result(command_protocol.parse_attempt_result(parsed[0]))
+        result = command_protocol.parse_attempt_result(parsed[0])
+        self._hold_value(len(result.value or b""))
+        self.pending_result.set_result(result)
         if self.buffer.start != self.buffer.end:  # the next attempt would read them as its reply
             raise resp.ProtocolError("unexpected bytes after a complete reply")
 
--- a/mapleshunt/server/gateway_server.py
+++ b/mapleshunt/server/gateway_server.py
@@ -49,6 +49,7 @@
 SHUTDOWN_POLL_INTERVAL_S = 0.01
 UPSTREAM_SWEEP_INTERVAL_S = 1.0
 CLIENT_SWEEP_INTERVAL_S = 0.1
+MEMORY_OBSERVATION_INTERVAL_S = 0.02
 COUNTERS_LOG_INTERVAL_S = 10.0  # a process that is killed logs no counters at its end
 
 
@@ -109,7 +110,7 @@
                 self.counters.add,
                 self._monitoring.report_loop_delay,
             ),
-            PeriodicTask(self.observe_memory, CLIENT_SWEEP_INTERVAL_S, self.counters.add),
+            PeriodicTask(self.observe_memory, MEMORY_OBSERVATION_INTERVAL_S, self.counters.add),
             PeriodicTask(self._monitoring.log_counters, COUNTERS_LOG_INTERVAL_S, self.counters.add),
         ]
         for sweep in sweeps:
