--- a/mapleshunt/net/client/close_report.py
+++ b/mapleshunt/net/client/close_report.py
@@ -1,13 +1,34 @@
-"""Reports of requests that cross the end of their client connection."""
+"""Reports of the ends of client connections, and of requests that cross them."""
 
 from __future__ import annotations
 
+import asyncio
 import time
+from collections import deque
+from typing import Protocol
 
+from ...invariants import CloseFacts, Guard, violations_of_close
 from .. import log
 from ..counters import Counters
 from ..protocol import resp
+from ..protocol.read_buffer import ReadBuffer
 from ..reasons import ClientCloseReason
+from ..trace import Trace
+from .response_slot import ResponseSlot
+from .write_buffer import WriteBuffer
+
+
+class EndedConnection(Protocol):
+    """What is reported of a client connection at its end."""
+
+    loop: asyncio.AbstractEventLoop
+    output: WriteBuffer
+    buffer: ReadBuffer
+    slots: deque[ResponseSlot]
+    command_count: int
+    opened_at: float
+    last_read_at: float
+
 
 # Ends that the gateway chooses while no response is pending. After the others further input is expected.
 CHOSEN_REASONS = frozenset(
@@ -58,3 +79,34 @@
     if parsed is None or len(parsed[0]) <= REQUEST_ID_WORD:
         return UNKNOWN_ID
     return bytes(parsed[0][REQUEST_ID_WORD][:MAX_LOGGED_ID_BYTES]).decode("ascii", "replace")
+
+
+def log_close(connection: EndedConnection, reason: ClientCloseReason, has_unread_bytes: bool) -> None:
+    """Log the end of a connection, before what it holds is released."""
+    now, written_at = connection.loop.time(), connection.output.last_write_at
+    log.log_event(
+        "client_connection_ended",
+        reason=reason,
+        commands=connection.command_count,
+        owed=len(connection.slots),
+        age=1000 * (now - connection.opened_at),
+        since_read=1000 * (now - connection.last_read_at),
+        since_answer=1000 * (now - written_at) if written_at else "none",
+        unwritten=connection.output.unwritten_bytes,
+        unprocessed=connection.buffer.unprocessed_bytes(),
+        unread=int(has_unread_bytes),
+    )
+
+
+def check_close(
+    connection: EndedConnection, reason: ClientCloseReason, has_unread_bytes: bool, trace: Trace
+) -> None:
+    """Count the end of a connection, and report the rules that it violates."""
+    trace.count_close("client_connections", reason)
+    contexts = [slot.context for slot in connection.slots if slot.context and slot.context.awaiting_response]
+    # Without a written response there is none that a reset could destroy, so unread bytes do no harm.
+    is_unread = bool(connection.output.last_write_at) and has_unread_bytes
+    unsent_s = connection.output.unsent_for(connection.loop.time())
+    facts = CloseFacts(reason, len(contexts), is_unread, None if unsent_s is None else 1000 * unsent_s)
+    subject = contexts[0].client_request_id if contexts else "connection"
+    trace.report_violations(Guard.CLOSE, violations_of_close(facts), subject)
--- a/mapleshunt/net/client/connection.py
+++ b/mapleshunt/net/client/connection.py
@@ -14,7 +14,6 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
-from ...invariants import CloseFacts, Guard, violations_of_close
 from ...lifecycle.lifecycle import DrainStage
 from .. import log
 from ..memory import MemoryAccount, MemoryBudget
@@ -23,7 +22,8 @@
 from ..reasons import ClientCloseReason
 from ..request.parse import UnacceptableRequestError
 from . import limits, socket_state
-from .close_report import report_crossing
+from .arrival_times import ArrivalTimes
+from .close_report import check_close, log_close, report_crossing
 from .read_grants import ReadGrants
 from .requests import RequestRegistry, admit_request, parse_command
 from .response_slot import ResponseSlot
@@ -83,8 +83,7 @@
         self.loop = asyncio.get_running_loop()
         self.memory = MemoryAccount(registry.memory)
         self.buffer = ReadBuffer(resp.MAX_MESSAGE_BYTES, self.memory.hold)
-        self.consumed_bytes = 0  # total that was parsed as commands
-        self.arrivals: deque[tuple[int, float]] = deque()  # total bytes read so far, and when
+        self.arrivals = ArrivalTimes()
         self.slots: deque[ResponseSlot] = deque()  # commands that await their response, in order
         self.output = WriteBuffer(stream, self.memory.release)
         self.pause_reason: PauseReason | None = None
@@ -203,7 +202,7 @@
         read_bytes = self.buffer.end - self.buffer.start
         self.skipped = SkippedCommand(command, self.buffer.start, read_bytes)
         self.arrivals.clear()
-        self.consumed_bytes += read_bytes
+        self.arrivals.consume(read_bytes)
         self.buffer.consume(self.buffer.end)
 
     async def _skip(self, skipped: SkippedCommand) -> None:
@@ -211,7 +210,7 @@
         target = memoryview(_discard_buffer())[: skipped.missing_bytes]
         count = await self.stream.read_into(cast(bytearray, target), partial=True)
         self.last_activity_at = self.last_read_at = self.loop.time()
-        self.consumed_bytes += count
+        self.arrivals.consume(count)
         skipped.missing_bytes -= count
         if skipped.missing_bytes or self.closing:
             return
@@ -226,10 +225,10 @@
         if socket_state.has_hung_up(self._raw_socket()):
             self.close(ClientCloseReason.CLIENT_CLOSED)
             return
-        consumed_before = self.consumed_bytes
+        consumed_before = self.arrivals.consumed_bytes
         if self.pause_reason in FLOOD_REASONS:
             self._reject_flood()
-        has_progress = self.pause_reason is PauseReason.TURN or self.consumed_bytes > consumed_before
+        has_progress = self.pause_reason is PauseReason.TURN or self.arrivals.consumed_bytes > consumed_before
         await asyncio.sleep(limits.FLOOD_READ_PAUSE_S if has_progress else limits.HANG_UP_CHECK_INTERVAL_S)
 
     async def _read(self) -> None:
@@ -238,10 +237,8 @@
         self.last_activity_at = self.last_read_at = self.loop.time()
         if was_empty:
             self.command_started_at = self.last_activity_at
-        read_bytes = self.consumed_bytes + self.buffer.end - self.buffer.start
-        self.arrivals.append((read_bytes, self.last_activity_at - self._age_of_last_data()))
-        if len(self.arrivals) > 4 * limits.MAX_PIPELINED_COMMANDS:
-            self.arrivals.popleft()
+        unconsumed_bytes = self.buffer.end - self.buffer.start
+        self.arrivals.add_read(unconsumed_bytes, self.last_activity_at - self._age_of_last_data())
 
     def _age_of_last_data(self) -> float:
         """Return how many seconds ago the kernel received the last bytes; their client waits since then."""
@@ -282,7 +279,7 @@
                 else:
                     size = parsed[1] - buffer.start
                     words = buffer.detach(parsed[0], size)
-                    self.consumed_bytes += size
+                    self.arrivals.consume(size)
                     buffer.consume(parsed[1])
                     self._process_command(words, size)
                     self.command_started_at = self.loop.time()
@@ -317,9 +314,8 @@
 
     def _command_arrived_at(self) -> float:
         """Return when the last byte of the command consumed last arrived."""
-        while len(self.arrivals) > 1 and self.arrivals[0][0] < self.consumed_bytes:
-            self.arrivals.popleft()
-        return self.arrivals[0][1] if self.arrivals else self.loop.time()
+        arrived_at = self.arrivals.last_consumed_at()
+        return self.loop.time() if arrived_at is None else arrived_at
 
     def _has_left(self, arrived_at: float) -> bool:
         """Return whether the client has closed its side after a command that waited since `arrived_at`.
@@ -376,7 +372,7 @@
         rejected = 0
         try:
             while parsed := resp.parse_command(self.buffer.data, self.buffer.start, self.buffer.end):
-                self.consumed_bytes += parsed[1] - self.buffer.start
+                self.arrivals.consume(parsed[1] - self.buffer.start)
                 self.buffer.consume(parsed[1])
                 rejected += 1
         except resp.ProtocolError as error:
@@ -572,12 +568,12 @@
         self.registry.remove(self)
         self.closing = True
         has_unread_bytes = self.linger_timer is None and self.has_unread_bytes()
-        self._check_close(reason, has_unread_bytes)
+        check_close(self, reason, has_unread_bytes, self.registry.counters.trace)
         if self.linger_timer is not None:
             self.linger_timer.cancel()
             self.registry.lingering_count -= 1
         self.stream.close()
-        self._log_close(reason, has_unread_bytes)
+        log_close(self, reason, has_unread_bytes)
         for slot in self.slots:
             if slot.context is not None and slot.context.awaiting_response:
                 self.registry.driver.client_disconnected(slot.context)
@@ -585,29 +581,3 @@
         self.memory.close()
         self.registry.read_grants.forget(self)
         self.registry.on_connection_ended()
-
-    def _log_close(self, reason: ClientCloseReason, has_unread_bytes: bool) -> None:
-        now, written_at = self.loop.time(), self.output.last_write_at
-        log.log_event(
-            "client_connection_ended",
-            reason=reason,
-            commands=self.command_count,
-            owed=len(self.slots),
-            age=1000 * (now - self.opened_at),
-            since_read=1000 * (now - self.last_read_at),
-            since_answer=1000 * (now - written_at) if written_at else "none",
-            unwritten=self.output.unwritten_bytes,
-            unprocessed=self.buffer.unprocessed_bytes(),
-            unread=int(has_unread_bytes),
-        )
-
-    def _check_close(self, reason: ClientCloseReason, has_unread_bytes: bool) -> None:
-        trace = self.registry.counters.trace
-        trace.count_close("client_connections", reason)
-        contexts = [slot.context for slot in self.slots if slot.context and slot.context.awaiting_response]
-        # Without a written response there is none that a reset could destroy, so unread bytes do no harm.
-        is_unread = bool(self.output.last_write_at) and has_unread_bytes
-        unsent_s = self.output.unsent_for(self.loop.time())
-        facts = CloseFacts(reason, len(contexts), is_unread, None if unsent_s is None else 1000 * unsent_s)
-        subject = contexts[0].client_request_id if contexts else "connection"
-        trace.report_violations(Guard.CLOSE, violations_of_close(facts), subject)
--- a/mapleshunt/net/memory.py
+++ b/mapleshunt/net/memory.py
@@ -38,6 +38,7 @@
 BUDGET_FRACTION = 0.6
 CUSTOMERS_FRACTION = 0.2
 KEPT_FRACTION = 1 / 4  # of the budget: never lent to commands that are longer than the first read buffer
+OBSERVED_STEP_BYTES = 512 << 10
 MIN_BUDGET_BYTES = 16 * MAX_RESPONSE_BYTES  # also where the process uses its limit up at rest
 MIN_CONNECTIONS = 64
 MIN_CUSTOMERS = 512
@@ -111,6 +112,7 @@
         reserved_bytes: What the responses may need that open requests still await.
         peak_bytes: The most that was held since the start.
         on_released: Called when something is released, while somebody waits for that.
+        on_grown: Called when what is held has grown by `OBSERVED_STEP_BYTES` since the last observation.
     """
 
     __slots__ = (
@@ -118,6 +120,7 @@
         "_observed_held_bytes",
         "held_bytes",
         "limit_bytes",
+        "on_grown",
         "on_released",
         "peak_bytes",
         "reserved_bytes",
@@ -130,6 +133,7 @@
         self.reserved_bytes = 0
         self.peak_bytes = 0
         self.on_released: Callable[[], None] | None = None
+        self.on_grown: Callable[[], None] | None = None
         # How much more the process may use, and what was held when that was observed.
         self._headroom_bytes = UNLIMITED_BYTES
         self._observed_held_bytes = 0
@@ -150,6 +154,8 @@
         self.peak_bytes = max(self.peak_bytes, self.held_bytes)
         if size < 0 and self.on_released is not None:
             self.on_released()
+        elif self.held_bytes - self._observed_held_bytes > OBSERVED_STEP_BYTES and self.on_grown is not None:
+            self.on_grown()
 
     def reserve(self, size: int) -> None:
         """Reserve `size` bytes; a negative size ends a reservation."""
--- a/mapleshunt/server/gateway_server.py
+++ b/mapleshunt/server/gateway_server.py
@@ -49,7 +49,6 @@
 SHUTDOWN_POLL_INTERVAL_S = 0.01
 UPSTREAM_SWEEP_INTERVAL_S = 1.0
 CLIENT_SWEEP_INTERVAL_S = 0.1
-MEMORY_OBSERVATION_INTERVAL_S = 0.02
 COUNTERS_LOG_INTERVAL_S = 10.0  # a process that is killed logs no counters at its end
 
 
@@ -110,7 +109,7 @@
                 self.counters.add,
                 self._monitoring.report_loop_delay,
             ),
-            PeriodicTask(self.observe_memory, MEMORY_OBSERVATION_INTERVAL_S, self.counters.add),
+            PeriodicTask(self.observe_memory, CLIENT_SWEEP_INTERVAL_S, self.counters.add),
             PeriodicTask(self._monitoring.log_counters, COUNTERS_LOG_INTERVAL_S, self.counters.add),
         ]
         for sweep in sweeps:
@@ -265,11 +264,15 @@
             shares = 2
         plan = plan_memory(memory_bytes, self.memory_at_rest_bytes, budget.usable(processes), shares)
         self.memory.limit_bytes, self._usable_bytes = plan.budget_bytes, plan.usable_bytes
+        self.memory.on_grown = self.observe_memory
         self.driver.gateway.customers.max_customers = plan.max_customers
         budget.divide(processes, plan.max_connections)
 
     def observe_memory(self) -> None:
-        """Let the budget see how much more memory this process may use. Called periodically."""
+        """Let the budget see how much more memory this process may use.
+
+        Called periodically, and whenever what is held has grown.
+        """
         used_bytes = private_bytes()
         self.memory.observe(self._usable_bytes - used_bytes)
         self._monitoring.report_high_memory(used_bytes)
--- a/tests/test_client_connection.py
+++ b/tests/test_client_connection.py
@@ -423,7 +423,7 @@
         flood = b"".join(query() for _ in range(3 * resp.MAX_MESSAGE_BYTES // len(query())))
         await asyncio.get_running_loop().sock_sendall(client_end, flood)
         buffer = connection.buffer
-        await wait_until(lambda: connection.consumed_bytes + buffer.end - buffer.start == len(flood))
+        await wait_until(lambda: connection.arrivals.consumed_bytes + buffer.end - buffer.start == len(flood))
         assert not driver.disconnected and len(driver.open_requests) == limits.MAX_PIPELINED_COMMANDS < len(
             connection.slots
         )
@@ -486,7 +486,8 @@
     async def steps(connection: connection_module.ClientConnection, client_end: socket.socket) -> None:
         client_end.send(query(b"c=odd,t=wide,d=9") + query())
         await wait_until(lambda: connection.pause_reason)
-        connection.arrivals = deque((end, arrived_at - 0.3) for end, arrived_at in connection.arrivals)
+        arrivals = connection.arrivals
+        arrivals._reads = deque((total, arrived_at - 0.3) for total, arrived_at in arrivals._reads)
         connection._resume()
         (context,) = cast(FakeDriver, connection.registry.driver).open_requests.values()
         assert context.request.remaining_time <= 180.0
