--- a/mapleshunt/net/client/close_report.py
+++ b/mapleshunt/net/client/close_report.py
@@ -5,7 +5,7 @@
 import asyncio
 import time
 from collections import deque
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from ...invariants import CloseFacts, Guard, violations_of_close
 from .. import log
@@ -17,17 +17,18 @@
 from .response_slot import ResponseSlot
 from .write_buffer import WriteBuffer
 
+if TYPE_CHECKING:  # a protocol class costs memory in every gateway
 
-class EndedConnection(Protocol):
-    """What is reported of a client connection at its end."""
+    class EndedConnection(Protocol):
+        """What is reported of a client connection at its end."""
 
-    loop: asyncio.AbstractEventLoop
-    output: WriteBuffer
-    buffer: ReadBuffer
-    slots: deque[ResponseSlot]
-    command_count: int
-    opened_at: float
-    last_read_at: float
+        loop: asyncio.AbstractEventLoop
+        output: WriteBuffer
+        buffer: ReadBuffer
+        slots: deque[ResponseSlot]
+        command_count: int
+        opened_at: float
+        last_read_at: float
 
 
 # Ends that the gateway chooses while no response is pending. After the others further input is expected.
--- a/mapleshunt/net/client/read_grants.py
+++ b/mapleshunt/net/client/read_grants.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections import OrderedDict
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from ..counters import Counters
 from ..memory import MemoryBudget
@@ -19,20 +19,21 @@
 # Of those that give way at a look: they come again at once, and each costs time that others need.
 MAX_RECLAIMS = 4
 
+if TYPE_CHECKING:  # a protocol class costs memory in every gateway
 
-class GrantHolder(Protocol):
-    """A connection that reads a long command."""
+    class GrantHolder(Protocol):
+        """A connection that reads a long command."""
 
-    last_read_at: float  # s, on the loop's clock: when its last bytes were read
+        last_read_at: float  # s, on the loop's clock: when its last bytes were read
 
-    def grant_bytes(self, size: int) -> None:
-        """Replace the read buffer by one of that size; it counts as held from now on."""
+        def grant_bytes(self, size: int) -> None:
+            """Replace the read buffer by one of that size; it counts as held from now on."""
 
-    def has_grant(self) -> bool:
-        """Return whether its read buffer is longer than the first one."""
+        def has_grant(self) -> bool:
+            """Return whether its read buffer is longer than the first one."""
 
-    def give_way(self) -> bool:
-        """End the connection because its command does not come; return whether it was ended."""
+        def give_way(self) -> bool:
+            """End the connection because its command does not come; return whether it was ended."""
 
 
 class ReadGrants:
--- a/mapleshunt/net/memory.py
+++ b/mapleshunt/net/memory.py
@@ -10,16 +10,13 @@
 
 import os
 from collections.abc import Callable
-from dataclasses import dataclass
-from pathlib import Path
 
 from .protocol import resp
 
 UNLIMITED_BYTES = 1 << 62
-UNLIMITED_COUNT = 1 << 31
 # A response of the longest value with its framing: reserved for each command, whatever its response will be.
 MAX_RESPONSE_BYTES = resp.MAX_VALUE_BYTES + 16
-REPLY_COPIES = 2  # as it is read, and as it is written
+REPLY_COPIES = 3  # as it is read, as its value waits for its task, and as it is written
 # Objects and timers of an open request, without its message.
 REQUEST_BYTES = 8192
 # What an open connection costs while nothing long is read or written: its objects and its first read buffer.
@@ -30,7 +27,7 @@
 # and however many are greedy, a part of it stays free for others (dynamic thresholds of shared buffers).
 FREE_FRACTION = 1 / 8
 # Of the process's limit. The rest is for samples that come late and for the kernel's accounting.
-USABLE_FRACTION = 0.9
+USABLE_FRACTION = 0.86
 # Of the memory that the process does not use at rest: at most this for connections, and of what they leave
 # this for the budget and this for customers. The rest is for what is not counted: fragmentation, copies that
 # exist for a moment, lists of endpoints.
@@ -38,13 +35,15 @@
 BUDGET_FRACTION = 0.6
 CUSTOMERS_FRACTION = 0.2
 KEPT_FRACTION = 1 / 4  # of the budget: never lent to commands that are longer than the first read buffer
-OBSERVED_STEP_BYTES = 512 << 10
+OBSERVED_STEP_BYTES = 128 << 10
 MIN_BUDGET_BYTES = 16 * MAX_RESPONSE_BYTES  # also where the process uses its limit up at rest
 MIN_CONNECTIONS = 64
 MIN_CUSTOMERS = 512
 # What may be taken even if the process uses up its memory: short requests, a few at a time.
 MIN_HEADROOM_BYTES = 256 << 10
-STATM_PATH = Path("/proc/self/statm")
+STATM_PATH = "/proc/self/statm"
+MAX_STATM_BYTES = 256
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 RESIDENT_FIELD, SHARED_FIELD = 1, 2  # of statm, in pages
 ASSUMED_PRIVATE_BYTES = 20 << 20  # where the kernel does not tell
 
@@ -52,13 +51,16 @@
 def private_bytes() -> int:
     """Return the memory that this process uses now, without the files that it maps."""
     try:
-        fields = STATM_PATH.read_text().split()
-        return (int(fields[RESIDENT_FIELD]) - int(fields[SHARED_FIELD])) * os.sysconf("SC_PAGE_SIZE")
+        descriptor = os.open(STATM_PATH, os.O_RDONLY)  # a file object would need 16 KB at each call
+        try:
+            fields = os.read(descriptor, MAX_STATM_BYTES).split()
+        finally:
+            os.close(descriptor)
+        return (int(fields[RESIDENT_FIELD]) - int(fields[SHARED_FIELD])) * PAGE_BYTES
     except (OSError, ValueError, IndexError):
         return ASSUMED_PRIVATE_BYTES
 
 
-@dataclass(slots=True, frozen=True)
 class MemoryPlan:
     """How the memory of one process is divided.
 
@@ -69,10 +71,14 @@
         max_customers: How many customers the policy may know.
     """
 
-    usable_bytes: int = UNLIMITED_BYTES
-    budget_bytes: int = UNLIMITED_BYTES
-    max_connections: int = UNLIMITED_COUNT
-    max_customers: int = UNLIMITED_COUNT
+    __slots__ = ("budget_bytes", "max_connections", "max_customers", "usable_bytes")
+
+    def __init__(
+        self, usable_bytes: int, budget_bytes: int, max_connections: int, max_customers: int
+    ) -> None:
+        """Store the parts."""
+        self.usable_bytes, self.budget_bytes = usable_bytes, budget_bytes
+        self.max_connections, self.max_customers = max_connections, max_customers
 
 
 def plan_memory(memory_bytes: int, at_rest_bytes: int, max_connections: int, processes: int) -> MemoryPlan:
--- a/mapleshunt/net/protocol/resp.py
+++ b/mapleshunt/net/protocol/resp.py
@@ -89,7 +89,6 @@
     return size, line_end + 2
 
 
-@dataclass(slots=True)
 class CommandParse:
     """What a buffer holds of a command.
 
@@ -100,10 +99,11 @@
         is_complete: Whether all of it is there.
     """
 
-    words: list[memoryview]
-    count: int
-    end: int
-    is_complete: bool
+    __slots__ = ("count", "end", "is_complete", "words")
+
+    def __init__(self, words: list[memoryview], count: int, end: int, is_complete: bool) -> None:
+        """Store what was found."""
+        self.words, self.count, self.end, self.is_complete = words, count, end, is_complete
 
     def lacks_only_body(self) -> bool:
         """Return whether it is complete but for its body, whose length is known."""
--- a/mapleshunt/policy/customers.py
+++ b/mapleshunt/policy/customers.py
@@ -4,7 +4,6 @@
 
 import math
 import random
-import sys
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -20,6 +19,7 @@
 
 # Time constant of the recent use of a customer whose plan has no rate.
 USE_SPAN_WITHOUT_RATE_MS = 1000.0
+UNLIMITED_CUSTOMERS = 1 << 31
 # Least ms between two sweeps for customers whose quota is unused, while the table is full.
 FULL_SWEEP_INTERVAL_MS = 50.0
 # Idle customers are evicted above twice the number of customers after the last sweep plus this.
@@ -176,7 +176,7 @@
         self.plan_names = sorted(settings.plans)
         self._size_after_sweep = 0  # number of customers after the last sweep
         self._full_swept_at = -math.inf
-        self.max_customers = sys.maxsize
+        self.max_customers = UNLIMITED_CUSTOMERS
 
     def customer_of(self, event: RequestReceived, now: float) -> Customer | None:
         """Return a request's customer, None if it is new and the table is full.
--- a/mapleshunt/testbed/crowds/run.py
+++ b/mapleshunt/testbed/crowds/run.py
@@ -52,7 +52,15 @@
     has_ended: bool  # killed for its memory, or exited by itself
 
     def violations(self) -> list[str]:
-        """Return what the run broke of what a gateway owes beside a crowd."""
+        """Return what the run broke of what a gateway owes beside a crowd, on a machine with room."""
+        broken = self.violations_on_any_machine()
+        is_late = self.beside.p99_ms > self.before.p99_ms + MAX_LATER_P99_MS
+        if is_late and self.parameters.restart is not Restart.KILL:
+            broken.append(f"99th percentile: {self.beside.p99_ms:.0f} ms, {self.before.p99_ms:.0f} before")
+        return broken
+
+    def violations_on_any_machine(self) -> list[str]:
+        """Return what the run broke that does not depend on how busy the machine is."""
         broken = []
         limit_mb = self.parameters.memory_mb
         if self.has_ended:
@@ -65,8 +73,6 @@
             broken.append(f"lost: {self.beside.lost} of {self.beside.requests} sound requests")
         if self.beside.unserved_fraction > self.before.unserved_fraction + MAX_MORE_UNSERVED:
             broken.append(f"not served: {self.beside.unserved_fraction:.3f} of {self.beside.requests}")
-        if self.beside.p99_ms > self.before.p99_ms + MAX_LATER_P99_MS:
-            broken.append(f"99th percentile: {self.beside.p99_ms:.0f} ms, {self.before.p99_ms:.0f} before")
         return broken
 
 
