--- a/mapleshunt/net/client/connection.py
+++ b/mapleshunt/net/client/connection.py
@@ -10,7 +10,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from typing import Protocol, cast
+from typing import TYPE_CHECKING, Protocol, cast
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -25,7 +25,7 @@
 from .arrival_times import ArrivalTimes
 from .close_report import check_close, log_close, report_crossing
 from .read_grants import ReadGrants
-from .requests import RequestRegistry, admit_request, parse_command
+from .requests import admit_request, parse_command
 from .response_slot import ResponseSlot
 from .skipped_command import SkippedCommand
 from .write_buffer import WriteBuffer
@@ -52,19 +52,21 @@
 # While paused so, with a full read buffer, further commands are rejected.
 FLOOD_REASONS = (PauseReason.PIPELINE_FULL, PauseReason.MEMORY)
 
+if TYPE_CHECKING:  # a protocol class costs memory in every gateway
+    from .requests import RequestRegistry
 
-class ConnectionRegistry(RequestRegistry, Protocol):
-    """The state and callbacks that a connection uses of the group of all client connections."""
+    class ConnectionRegistry(RequestRegistry, Protocol):
+        """The state and callbacks that a connection uses of the group of all client connections."""
 
-    is_ready: Callable[[], bool]
-    memory: MemoryBudget
-    read_grants: ReadGrants
-    connections: dict[ClientConnection, None]
-    lingering_count: int
-    on_connection_ended: Callable[[], None]
+        is_ready: Callable[[], bool]
+        memory: MemoryBudget
+        read_grants: ReadGrants
+        connections: dict[ClientConnection, None]
+        lingering_count: int
+        on_connection_ended: Callable[[], None]
 
-    def remove(self, connection: ClientConnection) -> None:
-        """Remove a connection that is being closed."""
+        def remove(self, connection: ClientConnection) -> None:
+            """Remove a connection that is being closed."""
 
 
 class ClientConnection:
--- a/mapleshunt/net/client/requests.py
+++ b/mapleshunt/net/client/requests.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterator
 from dataclasses import replace
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from ...lifecycle.lifecycle import DrainStage
 from ..counters import Counters
@@ -19,17 +19,18 @@
 
 MIN_TIMEOUT_MS = 1.0  # lower bound for a request whose time is used up; the policy then rejects it
 
+if TYPE_CHECKING:  # a protocol class costs memory in every gateway
 
-class RequestRegistry(Protocol):
-    """State shared by the requests of all client connections."""
+    class RequestRegistry(Protocol):
+        """State shared by the requests of all client connections."""
 
-    driver: PolicyDriver
-    counters: Counters
-    max_open_requests: int
-    request_ids: Iterator[int]
-    client_ids: ClientRequestIds
-    final_deadline: float
-    drain_stage: DrainStage
+        driver: PolicyDriver
+        counters: Counters
+        max_open_requests: int
+        request_ids: Iterator[int]
+        client_ids: ClientRequestIds
+        final_deadline: float
+        drain_stage: DrainStage
 
 
 def parse_command(
--- a/mapleshunt/net/client/response_slot.py
+++ b/mapleshunt/net/client/response_slot.py
@@ -2,20 +2,21 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from ..memory import MAX_RESPONSE_BYTES, REQUEST_BYTES, MemoryAccount
 from ..protocol import command_protocol, resp
 from ..request.context import RequestContext
 
+if TYPE_CHECKING:  # a protocol class costs memory in every gateway
 
-class ResponseWriter(Protocol):
-    """The connection that writes the responses."""
+    class ResponseWriter(Protocol):
+        """The connection that writes the responses."""
 
-    memory: MemoryAccount
+        memory: MemoryAccount
 
-    def flush(self) -> None:
-        """Write the completed responses at the head of the queue."""
+        def flush(self) -> None:
+            """Write the completed responses at the head of the queue."""
 
 
 class ResponseSlot:
--- a/mapleshunt/net/request/context.py
+++ b/mapleshunt/net/request/context.py
@@ -6,19 +6,20 @@
 import math
 import time
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from ...policy import RequestReceived, events
 from ..messages import RequestMessage, ResponseSink
 from ..reasons import AttemptStatus, RequestResult, UpstreamCloseReason
 from .client_ids import ClientRequestIds
 
+if TYPE_CHECKING:  # a protocol class costs memory in every gateway
 
-class AttemptConnection(Protocol):
-    """The connection that carries an attempt."""
+    class AttemptConnection(Protocol):
+        """The connection that carries an attempt."""
 
-    def close(self, reason: UpstreamCloseReason) -> None:
-        """Close the connection, which ends the attempt on it."""
+        def close(self, reason: UpstreamCloseReason) -> None:
+            """Close the connection, which ends the attempt on it."""
 
 
 @dataclass(slots=True)
--- a/mapleshunt/net/upstream/connection.py
+++ b/mapleshunt/net/upstream/connection.py
@@ -12,7 +12,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -37,17 +37,18 @@
 # Four of the longest replies: no well-formed reply overruns the stream's own buffer.
 MAX_STREAM_BUFFER_BYTES = 4 * resp.MAX_MESSAGE_BYTES
 
+if TYPE_CHECKING:  # a protocol class costs memory in every gateway
 
-class ConnectionOwner(Protocol):
-    """The part of an endpoint group that its connections use."""
+    class ConnectionOwner(Protocol):
+        """The part of an endpoint group that its connections use."""
 
-    counters: Counters
-    memory: MemoryBudget
-    connections: set[UpstreamConnection]
-    dial_timeout_ms: float
+        counters: Counters
+        memory: MemoryBudget
+        connections: set[UpstreamConnection]
+        dial_timeout_ms: float
 
-    def reduce_max_idle(self, idle_s: float) -> None:
-        """Lower the maximum idle time after a connection idle for `idle_s` was found closed."""
+        def reduce_max_idle(self, idle_s: float) -> None:
+            """Lower the maximum idle time after a connection idle for `idle_s` was found closed."""
 
 
 @dataclass(slots=True, eq=False)
