--- a/tests/test_gateway_server.py
+++ b/tests/test_gateway_server.py
@@ -19,7 +19,9 @@
 from mapleshunt.net.protocol import resp
 from mapleshunt.server.gateway_server import GatewayServer
 
-from .processes import EXAMPLE_CONFIG, free_port, query, read_replies, run
+from .processes import EXAMPLE_CONFIG, PING, free_port, query, read_replies, run
+
+TIMEOUT_S = 20.0  # for what a test expects
 
 
 @pytest.fixture
@@ -178,6 +180,34 @@
     asyncio.run(run())
 
 
+def test_client_at_rest_keeps_its_place_while_an_unfinished_command_can_give_way() -> None:
+    async def run() -> None:
+        env = {"PROXY_LISTEN": "127.0.0.1:0", "PROXY_DISCOVERY": "127.0.0.1:1"}
+        server = GatewayServer(config.parse(EXAMPLE_CONFIG.read_text(), env))
+        task = asyncio.create_task(server.run())
+        while not server.clients.accepting:
+            await asyncio.sleep(0)
+        address = server.clients.listeners[0].getsockname()
+        rested = await asyncio.open_connection(*address)
+        rested[1].write(PING)
+        await rested[0].readline()
+        unfinished = await asyncio.open_connection(*address)
+        unfinished[1].write(query(1)[:20])
+        await asyncio.sleep(2 * limits.STALL_TIMEOUT_S)
+        server.clients.budget.max_clients = 3
+        newcomer = await asyncio.open_connection(*address)
+        async with asyncio.timeout(TIMEOUT_S):
+            assert await unfinished[0].read() == b""
+            rested[1].write(PING)
+            assert await rested[0].readline()
+        for _, writer in (rested, unfinished, newcomer):
+            writer.close()
+        server.stop_requested.set()
+        await task
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("sockets", [256, 1024])
 def test_limits_for_clients_follow_the_limit_of_descriptors(sockets: int) -> None:
     text = {**json.loads(EXAMPLE_CONFIG.read_text()), "limits": {"memory_mb": 96, "sockets": sockets}}
