Let unfinished commands give way before clients at rest

Callers saw: at the limit of connections sound clients at rest ended as made_room, while clients that had stopped within a command stayed (the operators' log).

--- a/mapleshunt/server/client_admission.py
+++ b/mapleshunt/server/client_admission.py
@@ -76,8 +76,11 @@
             self.connections.close_lingering(MAX_LINGERING)
 
     def _make_room(self) -> bool:
-        """Evict an idle connection, or some whose commands do not come; return whether there is room."""
-        return self.connections.evict_idle() or self.connections.end_unfinished(MAX_EVICTIONS_PER_TURN) > 0
+        """End connections whose commands do not come, or evict an idle one; return whether there is room.
+
+        Clients at rest have done nothing wrong: they give way last.
+        """
+        return self.connections.end_unfinished(MAX_EVICTIONS_PER_TURN) > 0 or self.connections.evict_idle()
 
     def _retry(self) -> None:
         """While accepting is paused, end connections whose commands have not come meanwhile."""
