--- a/mapleshunt/net/discovery/watcher.py
+++ b/mapleshunt/net/discovery/watcher.py
@@ -18,7 +18,7 @@
 from ..config import Address, address_family
 from ..counters import Counters
 from ..protocol import http
-from ..protocol.read_buffer import MessageTooLongError, ReadBuffer
+from ..protocol.read_buffer import MessageTooLongError, ReadBuffer, ignore_size
 from ..reasons import DiscoveryEnd, DiscoveryEndReason
 from .backoff import SILENCE_TIMEOUT_MS, WATCH_WAIT_MS, Backoff
 from .endpoint_list import EndpointList, parse_endpoint_list
@@ -39,6 +39,7 @@
         counters: Counters,
         backoff: Backoff,
         revision: int | None = None,
+        hold: Callable[[int], None] = ignore_size,
     ) -> None:
         """Prepare to watch.
 
@@ -48,7 +49,9 @@
             counters: the gateway's counters.
             backoff: the delays after failed calls, and the time limits of calls.
             revision: that of the known list; None requests the complete list.
+            hold: called with the bytes that a list that is being read holds, negative when they are released.
         """
+        self._hold = hold
         self.agent, self.on_update, self.counters = agent, on_update, counters
         self.backoff, self.revision = backoff, revision
         self.first_call_timeout_s = backoff.answer_timeout_ms / 1000
@@ -98,7 +101,13 @@
         """Make one call after another on a connection; return why it ended."""
         async with asyncio.timeout(self.backoff.dial_timeout_ms / 1000):
             await stream.connect(self.agent)
-        buffer = ReadBuffer(http.MAX_MESSAGE_BYTES)
+        buffer = ReadBuffer(http.MAX_MESSAGE_BYTES, self._hold)
+        try:
+            return await self._call_repeatedly(stream, buffer)
+        finally:
+            buffer.release()
+
+    async def _call_repeatedly(self, stream: IOStream, buffer: ReadBuffer) -> DiscoveryEnd:
         watching = False
         while True:
             response = await self._exchange(stream, buffer, watching)
--- a/mapleshunt/net/protocol/read_buffer.py
+++ b/mapleshunt/net/protocol/read_buffer.py
@@ -16,8 +16,8 @@
     """A message exceeds the buffer's limit. The text may be sent to the client."""
 
 
-def _ignore_size(_change: int) -> None:
-    pass
+def ignore_size(_change: int) -> None:
+    """Count nothing: the buffer is in no budget."""
 
 
 class ReadBuffer:
@@ -27,7 +27,7 @@
     unconsumed bytes. Slices of the old one stay valid for as long as they are referenced.
     """
 
-    def __init__(self, max_bytes: int, on_resize: Callable[[int], None] = _ignore_size) -> None:
+    def __init__(self, max_bytes: int, on_resize: Callable[[int], None] = ignore_size) -> None:
         """Create an empty buffer that holds at most `max_bytes` unconsumed bytes.
 
         `on_resize` is called with the change of its size beyond `CHUNK_BYTES`, at each replacement and at
@@ -149,4 +149,4 @@
     def release(self) -> None:
         """Stop counting the buffer: its owner reads no more."""
         self._on_resize(CHUNK_BYTES - len(self.data))
-        self._on_resize = _ignore_size
+        self._on_resize = ignore_size
--- a/mapleshunt/net/upstream/endpoint_group.py
+++ b/mapleshunt/net/upstream/endpoint_group.py
@@ -107,11 +107,7 @@
         """
         latest: dict[Address, EndpointPool] = {}
         for pool in self.pools.values():
-            other = latest.setdefault(pool.address, pool)
-            if (pool.endpoint.started_at_ms, pool.listed_as) > (
-                other.endpoint.started_at_ms,
-                other.listed_as,
-            ):
+            if latest.setdefault(pool.address, pool).came_before(pool):
                 latest[pool.address] = pool
         changed = []
         for pool in self.pools.values():
--- a/mapleshunt/server/endpoint_watch.py
+++ b/mapleshunt/server/endpoint_watch.py
@@ -81,7 +81,12 @@
         settings = config.settings
         backoff = Backoff(settings.gateway_count if settings.poll_discovery else 0, self._random)
         discovery = EndpointWatcher(
-            config.discovery_address, self.apply_list, self._counters, backoff, self._revision
+            config.discovery_address,
+            self.apply_list,
+            self._counters,
+            backoff,
+            self._revision,
+            self._upstreams.memory.hold,
         )
         self.task = asyncio.get_running_loop().create_task(discovery.run())
         self.task.add_done_callback(self._watch_ended)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -189,6 +189,34 @@
         return await asyncio.start_server(self.serve, "127.0.0.1", 0)
 
 
+def test_list_that_is_being_read_counts_as_held_until_its_call_ends() -> None:
+    changes: list[int] = []
+
+    async def run() -> None:
+        agent = Agent()
+        server = await agent.start()
+        discovery = EndpointWatcher(
+            server.sockets[0].getsockname(),
+            lambda _update: None,
+            Counters(),
+            ShortBackoff(0, random.Random(1)),
+            hold=changes.append,
+        )
+        task = asyncio.create_task(discovery.run())
+        _, writer = await agent.calls.get()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\n" + bytes(100_000))
+        async with asyncio.timeout(20):
+            while sum(changes) < 100_000:
+                await asyncio.sleep(0)
+            writer.close()
+            while sum(changes):
+                await asyncio.sleep(0)
+        task.cancel()
+        server.close()
+
+    asyncio.run(run())
+
+
 def test_watch_resumes_after_lack_of_descriptors() -> None:
     # The socket was created outside the `try`: its OSError ended the task, and no list was received again.
     updates: list[EndpointList] = []
