--- a/tests/test_client_leaving.py
+++ b/tests/test_client_leaving.py
@@ -11,6 +11,7 @@
 from tornado.iostream import IOStream
 
 from mapleshunt import Event, RequestReceived, StartAttempt
+from mapleshunt.net.client import limits
 from mapleshunt.net.client.connections import ClientConnections
 from mapleshunt.net.client.requests import parse_command
 from mapleshunt.net.memory import MemoryBudget
@@ -19,9 +20,9 @@
 from mapleshunt.net.request.parse import UnacceptableRequestError
 from mapleshunt.net.upstream.endpoint import Endpoint
 
-from .test_client_connection import CUSTOMER, FakeDriver, tcp_pair, wait_until
+from .test_client_connection import CUSTOMER, FakeDriver, query, tcp_pair, wait_until
 from .test_policy_driver import RecordingSink, ScriptedPolicy, run_steps
-from .test_read_grants import BODY_BYTES, LIMIT_BYTES, long_command
+from .test_read_grants import BODY_BYTES, LIMIT_BYTES, TIMEOUT_S, long_command
 
 
 def test_command_that_waited_for_memory_is_not_admitted_after_its_client_has_left() -> None:
@@ -63,6 +64,33 @@
     assert not driver.open_requests and not driver.disconnected
 
 
+def test_disconnect_is_seen_while_a_further_command_waits_for_memory(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(limits, "GRANT_TIMEOUT_S", 3600.0)
+    monkeypatch.setattr(limits, "STALL_TIMEOUT_S", 3600.0)
+
+    async def run() -> None:
+        driver, loop = FakeDriver(), asyncio.get_running_loop()
+        service = ClientConnections(
+            cast(PolicyDriver, driver), driver.counters, 1, 1000, MemoryBudget(LIMIT_BYTES)
+        )
+        pairs = [tcp_pair(), tcp_pair()]
+        for ours, _ in pairs:
+            ours.setblocking(False)
+            service.add(IOStream(ours))
+        await loop.sock_sendall(pairs[0][1], long_command(1)[: BODY_BYTES // 2])
+        await wait_until(lambda: service.memory.held_bytes > BODY_BYTES // 2)
+        await loop.sock_sendall(pairs[1][1], query() + long_command(2))
+        await wait_until(lambda: len(driver.open_requests) == 1 and len(service.read_grants) == 1)
+        pairs[1][1].close()
+        async with asyncio.timeout(TIMEOUT_S):
+            while not driver.disconnected:
+                await asyncio.sleep(0.01)
+        pairs[0][1].close()
+        await wait_until(lambda: not service.connections)
+
+    asyncio.run(run())
+
+
 def test_request_id_is_not_run_again_while_its_first_attempt_may_still_run() -> None:
     words = [memoryview(word) for word in (b"SVC.QUERY", CUSTOMER, b"0" * 16, b"c=look,t=wide,d=200")]
 
