Check for a disconnect while a command waits for memory

What callers saw: none yet; found in a second reading. A request could begin over 0.1 s after its client had left, while a further command of the connection waited for its memory. Cause: a waiting connection is not read, and only reading or a full buffer looked for a disconnect. Fix: the socket is asked every 50 ms meanwhile, as with a full buffer. Another test of the file waited for both connections to end; the one that waits ends by itself now, so the stopped one is closed by the test; its assertions are as they were. Besides: a sample of the memory that fails (no descriptor) is left out, in place of an assumed figure.

--- a/mapleshunt/net/client/connection.py
+++ b/mapleshunt/net/client/connection.py
@@ -102,6 +102,7 @@
         self.crossing_reported = False
         self.task: asyncio.Task[None] | None = None
         self.linger_timer: asyncio.TimerHandle | None = None
+        self.hang_up_timer: asyncio.TimerHandle | None = None  # while it waits for memory
         stream.set_nodelay(True)
 
     # Reading
@@ -165,12 +166,32 @@
         if size <= max(CHUNK_BYTES, len(buffer.data)):
             buffer.make_room(size)
             return True
-        if await self.registry.read_grants.take(self, size):
+        if await self._take_grant(size):
             return not self.closing
         if not self.closing and self in self.registry.connections:
             self._begin_skip()
         return False
 
+    async def _take_grant(self, size: int) -> bool:
+        """Wait for a grant of memory, and check for a disconnect meanwhile: nothing is read."""
+        if self.registry.read_grants.try_take(self, size):
+            return True
+        self._check_hang_up_later()
+        try:
+            return await self.registry.read_grants.take(self, size)
+        finally:
+            if self.hang_up_timer is not None:
+                self.hang_up_timer.cancel()
+
+    def _check_hang_up_later(self) -> None:
+        self.hang_up_timer = self.loop.call_later(limits.HANG_UP_CHECK_INTERVAL_S, self._check_hang_up)
+
+    def _check_hang_up(self) -> None:
+        if socket_state.has_hung_up(self._raw_socket()):
+            self.close(ClientCloseReason.CLIENT_CLOSED)
+        else:
+            self._check_hang_up_later()
+
     def grant_bytes(self, size: int) -> None:
         """Replace the read buffer by one of that size; it counts as held from now on."""
         self.buffer.make_room(size)
--- a/mapleshunt/net/client/limits.py
+++ b/mapleshunt/net/client/limits.py
@@ -32,7 +32,7 @@
 UNACCEPTABLE_COMMAND_DELAY_S = 0.05
 # Retry-After of a request that is rejected only because of its connection's state; another may accept it.
 IMMEDIATE_RETRY_AFTER_MS = 1.0
-# Interval of checks for a disconnect while the read buffer is full.
+# Interval of checks for a disconnect while nothing is read.
 HANG_UP_CHECK_INTERVAL_S = 0.05
 # Pause between reads of rejected or discarded input, so that a flood does not starve other connections.
 FLOOD_READ_PAUSE_S = 0.001
--- a/mapleshunt/net/memory.py
+++ b/mapleshunt/net/memory.py
@@ -45,11 +45,11 @@
 MAX_STATM_BYTES = 256
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 RESIDENT_FIELD, SHARED_FIELD = 1, 2  # of statm, in pages
-ASSUMED_PRIVATE_BYTES = 20 << 20  # where the kernel does not tell
+ASSUMED_AT_REST_BYTES = 20 << 20  # where the kernel does not tell
 
 
-def private_bytes() -> int:
-    """Return the memory that this process uses now, without the files that it maps."""
+def private_bytes() -> int | None:
+    """Return the memory that this process uses now, without the files that it maps; None if not known."""
     try:
         descriptor = os.open(STATM_PATH, os.O_RDONLY)  # a file object would need 16 KB at each call
         try:
@@ -58,7 +58,7 @@
             os.close(descriptor)
         return (int(fields[RESIDENT_FIELD]) - int(fields[SHARED_FIELD])) * PAGE_BYTES
     except (OSError, ValueError, IndexError):
-        return ASSUMED_PRIVATE_BYTES
+        return None
 
 
 class MemoryPlan:
--- a/mapleshunt/server/gateway_server.py
+++ b/mapleshunt/server/gateway_server.py
@@ -21,7 +21,14 @@
 from ..net.client.listener import bind_socket
 from ..net.config import Config, ConfigError, format_address
 from ..net.counters import Counters
-from ..net.memory import UNLIMITED_BYTES, MemoryBudget, fits_processes, plan_memory, private_bytes
+from ..net.memory import (
+    ASSUMED_AT_REST_BYTES,
+    UNLIMITED_BYTES,
+    MemoryBudget,
+    fits_processes,
+    plan_memory,
+    private_bytes,
+)
 from ..net.periodic import PeriodicTask
 from ..net.policy_driver import PolicyDriver
 from ..net.reasons import ClientCloseReason
@@ -257,7 +264,7 @@
         Memory once used stays with the process: where a second one may come, it is divided from the start.
         """
         if not self.memory_at_rest_bytes:
-            self.memory_at_rest_bytes = private_bytes()
+            self.memory_at_rest_bytes = private_bytes() or ASSUMED_AT_REST_BYTES
         budget, memory_bytes = self.clients.budget, self.reloader.config.memory_bytes
         shares = processes
         if self.takeover is not None and fits_processes(memory_bytes, self.memory_at_rest_bytes, 2):
@@ -274,8 +281,9 @@
         Called periodically, and whenever what is held has grown.
         """
         used_bytes = private_bytes()
-        self.memory.observe(self._usable_bytes - used_bytes)
-        self._monitoring.report_high_memory(used_bytes)
+        if used_bytes is not None:  # else no descriptor is left, for example
+            self.memory.observe(self._usable_bytes - used_bytes)
+            self._monitoring.report_high_memory(used_bytes)
 
     # Shutdown
 
--- a/mapleshunt/server/monitoring.py
+++ b/mapleshunt/server/monitoring.py
@@ -46,7 +46,7 @@
             open=len(self._driver.open_requests),
             client_connections_now=len(self._connections.connections),
             server_connections_now=len(self._upstreams.connections),
-            **self._memory_gauges(private_bytes()),
+            **self._memory_gauges(private_bytes() or 0),
             **self._driver.gateway.stats(self._driver.now()),
         )
 
--- a/tests/test_client_leaving.py
+++ b/tests/test_client_leaving.py
@@ -39,8 +39,9 @@
         await wait_until(lambda: service.memory.held_bytes > BODY_BYTES // 2)
         await loop.sock_sendall(pairs[1][1], long_command(2))
         pairs[1][1].close()
-        await wait_until(lambda: not service.connections)
+        await wait_until(lambda: len(service.connections) == 1)
         pairs[0][1].close()
+        await wait_until(lambda: not service.connections)
         return driver
 
     driver = asyncio.run(run())
