--- a/tests/policy/test_gossip.py
+++ b/tests/policy/test_gossip.py
@@ -5,6 +5,7 @@
 from mapleshunt import (
     SendGossip,
 )
+from mapleshunt.policy.gossip_codec import EntryKind, max_entries
 
 from ..conftest import Driver
 from .helpers import started_attempts
@@ -56,3 +57,19 @@
     message_count = sum(isinstance(action, SendGossip) for action in driver.actions)
     assert 0.8 * 12 * seconds <= message_count <= 12 * seconds + 3
     assert len(started_attempts(driver.actions)) < 40 * seconds / 5
+
+
+def test_queue_to_a_peer_is_bounded_under_ever_new_customers_and_others_still_get_replies_in_time() -> None:
+    driver = Driver(gateway_count=4, gossip_enabled=True)
+    gossip = driver.gateway.gossip
+    for number in range(8000):  # 4,000 requests a second for 2 s
+        driver.request(plan="wide", customer=f"{number:x}", gateway_set_size=4, remaining_time=500)
+        if number % 20 == 0:
+            driver.advance(5)
+        for started in started_attempts(driver.actions):
+            driver.end_attempt(started, latency=1.0)
+        driver.actions.clear()
+    sent_per_s = max_entries(driver.gateway.settings.gossip_message_bytes) * 1000 / gossip.send_interval
+    assert max(map(len, gossip.outbox.values())) <= 2 * sent_per_s
+    asks = [[entry.kind for entry in entries].count(EntryKind.ASK) for entries in gossip.outbox.values()]
+    assert max(asks) <= sent_per_s
