--- a/mapleshunt/policy/gateway.py
+++ b/mapleshunt/policy/gateway.py
@@ -137,6 +137,8 @@
             "servers_barred": sum(endpoint.ejected_until > now for endpoint in endpoints.ready),
             "requests_queued": self.scheduler.queued,
             "requests_asking": len(self.requests.awaiting_owner),
+            "gossip_queued": sum(map(len, self.gossip.outbox.values())),
+            "gossip_dropped": self.gossip.dropped,
             "tries_out": sum(len(endpoint.in_flight) for endpoint in endpoints.by_number.values()),
             "bound": round(self.concurrency.per_endpoint, 3),
             "pace": round(latency.ratio, 3),
--- a/mapleshunt/policy/gossip.py
+++ b/mapleshunt/policy/gossip.py
@@ -5,7 +5,7 @@
 import math
 
 from .actions import Action, SendGossip
-from .gossip_codec import GossipEntry, encode, max_entries
+from .gossip_codec import EntryKind, GossipEntry, encode, max_entries
 from .latency import LatencyEstimates
 from .settings import Settings
 from .timers import TimerKind, TimerQueue
@@ -17,6 +17,12 @@
 WRITERS_PER_PEER = 3
 # Maximum of the send budget, as ms of sending at full rate.
 SEND_BUDGET_MS = 250
+# Questions and replies for one peer are queued for this long at most: later they are of no use.
+MAX_QUEUE_MS = 1000.0
+MIN_INTERVAL_MS = 1.0  # where there is no peer, or they take in more
+# Reports of use for one peer may be queued for this many times as long.
+REPORTS_FACTOR = 2
+REPORTS = (EntryKind.NOTE, EntryKind.USED)
 # Peer number that stands for all peers.
 ALL_PEERS = -1
 
@@ -29,6 +35,7 @@
         send_interval: Minimum ms between two messages to the same peer.
         send_budget: Messages that may be sent now: needed to ask an owner, taken by each message sent.
         last_sent: When a message was last sent, by peer.
+        dropped: Entries that were not queued because too many were.
     """
 
     __slots__ = (
@@ -36,8 +43,10 @@
         "_last_broadcast",
         "_latency",
         "_max_entries",
+        "_max_queued",
         "_settings",
         "_timers",
+        "dropped",
         "last_sent",
         "outbox",
         "send_budget",
@@ -60,17 +69,34 @@
         self.last_sent: dict[int, float] = {}
         self._last_broadcast = -math.inf
         self._max_entries = max_entries(settings.gossip_message_bytes)
+        self._max_queued = self._max_entries * math.ceil(
+            MAX_QUEUE_MS / max(self.send_interval, MIN_INTERVAL_MS)
+        )
+        self.dropped = 0
         timers.on(TimerKind.SEND_GOSSIP, self._flush)
 
     def queue(self, peer: int, entry: GossipEntry, now: float) -> None:
-        """Send an entry at once, or batched with others once the send interval has passed."""
+        """Send an entry at once, or batched with others once the send interval has passed.
+
+        It is dropped if too many wait for that: the protocol tolerates lost messages.
+        """
         queued_entries = self.outbox.get(peer)
         if queued_entries is None:
             at = max(now, self.last_sent.get(peer, 0.0) + self.send_interval)
             self._timers.set(at, TimerKind.SEND_GOSSIP, peer)
             self.outbox[peer] = [entry]
-        else:
+        elif self._has_room(queued_entries, entry.kind):
             queued_entries.append(entry)
+        else:
+            self.dropped += 1
+
+    def _has_room(self, queued_entries: list[GossipEntry], kind: EntryKind) -> bool:
+        factor = REPORTS_FACTOR if kind in REPORTS else 1
+        return len(queued_entries) < factor * self._max_queued
+
+    def may_ask(self, peer: int) -> bool:
+        """Return whether a question to this peer would be queued, and sent while its reply is of use."""
+        return self._has_room(self.outbox.get(peer, []), EntryKind.ASK)
 
     def _flush(self, peer: int, now: float) -> None:
         entries = self.outbox.pop(peer)
--- a/mapleshunt/policy/quota_check.py
+++ b/mapleshunt/policy/quota_check.py
@@ -119,9 +119,11 @@
             self._ask_owner(request, owner, view, thinning, now)
 
     def _is_over_send_budget(self, owner: int, now: float) -> bool:
-        """Return whether no message may be sent to the owner because the send budget is used up."""
+        """Return whether the owner may not be asked: the send budget is used up, or its queue is full."""
         gossip = self._gossip
-        return owner not in gossip.outbox and gossip.send_budget.refill(now) < 1
+        if owner in gossip.outbox:
+            return not gossip.may_ask(owner)
+        return gossip.send_budget.refill(now) < 1
 
     @staticmethod
     def _has_too_many_open(customer: Customer) -> bool:
