--- a/tests/policy/test_endpoint_watch.py
+++ b/tests/policy/test_endpoint_watch.py
@@ -51,3 +51,13 @@
     driver.handle(EndpointUpdate("partial", ()))
     assert set(driver.gateway.endpoints.by_number) == {39} and len(driver.gateway.endpoints.by_tag) == 1
     driver.advance(10000)  # timers for a removed endpoint do no harm
+
+
+def test_restart_with_an_earlier_start_time_is_not_taken_for_the_process_before_it(driver: Driver) -> None:
+    started = 1e9
+    driver.handle(EndpointUpdate("partial", (EndpointInfo(9, started=started, age=1.0),)))
+    driver.advance(60_000)
+    driver.handle(EndpointUpdate("partial", (EndpointInfo(9, started=started - 3_600_000, age=1.0),)))
+    assert driver.gateway.endpoints.by_number[9].up_since == driver.now - 1.0
+    driver.handle(EndpointUpdate("partial", (EndpointInfo(9, started=0.0),)))  # long ago: no other process
+    assert driver.gateway.endpoints.by_number[9].up_since == driver.now - 1.0
