Take a start time that differs for a restart, earlier ones too

Cause: EndpointTable.merge compared with >; the connections' side compared for equality already. Fix: any other start is a restart, but for 0, which stands for long ago.

--- a/mapleshunt/policy/endpoints.py
+++ b/mapleshunt/policy/endpoints.py
@@ -73,7 +73,7 @@
                 endpoint.info = EndpointInfo(number, known.zone, known.cell, "gone")
         for info in update.endpoints:
             current = self.by_number.get(info.endpoint)
-            if current is None or info.started > current.started:
+            if current is None or (info.started and info.started != current.started):
                 started.append(info)
             else:
                 current.info = info
