--- a/tests/test_client_leaving.py
+++ b/tests/test_client_leaving.py
@@ -125,3 +125,39 @@
         return []
 
     run_steps(decide, steps)
+
+
+def test_request_id_that_has_run_is_not_run_again_until_its_time_is_over() -> None:
+    words = [memoryview(word) for word in (b"SVC.QUERY", CUSTOMER, b"0" * 16, b"c=look,t=wide,d=200")]
+
+    async def steps(driver: PolicyDriver, _policy: ScriptedPolicy) -> None:
+        service = ClientConnections(driver, driver.counters, 1, 1000)
+        sink = RecordingSink()
+
+        def parse() -> Any:
+            now = asyncio.get_running_loop().time()
+            return parse_command(service, words, sink, now, now)
+
+        with socket.create_server(("127.0.0.1", 0)) as listener:
+            endpoint = Endpoint("s-1", listener.getsockname(), "", 0, "ready", 0.0)
+            driver.group.apply_endpoint_list("complete", [endpoint])
+            driver.submit(parse())
+            with (await asyncio.to_thread(listener.accept))[0] as endpoint_socket:
+                await asyncio.to_thread(endpoint_socket.recv, 65536)
+                endpoint_socket.send(b"*1\r\n$1\r\nv\r\n")
+                while not sink.responses:
+                    await asyncio.sleep(0)
+                with pytest.raises(UnacceptableRequestError):
+                    parse()
+                await asyncio.sleep(0.25)  # its time is over
+                driver.client_disconnected(parse())
+            for connection in list(driver.group.connections):
+                connection.close(cast(Any, ClientCloseReason.PROCESS_STOPPED))
+        assert sink.responses == ["v"]
+
+    def decide(event: Event) -> list[Any]:
+        if isinstance(event, RequestReceived):
+            return [StartAttempt(event.request_id, Endpoint("s-1", ("", 0), "", 0, "ready", 0.0).number)]
+        return []
+
+    run_steps(decide, steps)
