Keep the ids of all requests that may have run until their time is over

Cause: ids were kept only of requests that were open when their client left; those that had been answered, to a client that no longer read, were forgotten at once. Fix: the end of a request keeps its id, whoever ended it, if an attempt may have run, until its time is over (4,096 at most, the oldest falls out).

--- a/mapleshunt/net/policy_driver.py
+++ b/mapleshunt/net/policy_driver.py
@@ -103,8 +103,6 @@
             self.counters.add("clients_gone")
             self.trace.add(context.client_request_id, "client_gone")
             self._log_request("client_gone", context)
-            if context.may_still_run():
-                context.client_ids.keep(context.client_request_id, context.deadline, self.now())
             # `_handle` removes the request, after earlier events and their actions.
             self.apply_event(ClientDisconnected(context.request_id))
             self.release(context)
--- a/mapleshunt/net/request/client_ids.py
+++ b/mapleshunt/net/request/client_ids.py
@@ -4,12 +4,12 @@
 
 from collections import OrderedDict
 
-# Ids kept of clients that have left: the oldest falls out beyond. 4,096 take some 0.6 MB.
+# Ids kept of requests that may have run: the oldest falls out beyond. 4,096 take some 0.6 MB.
 MAX_KEPT_IDS = 4096
 
 
 class ClientRequestIds:
-    """Ids of requests that await a response, and of those whose client left while they may still run."""
+    """Ids of requests that await a response, and of those that may have run, until their time is over."""
 
     __slots__ = ("_kept_until", "_open")
 
@@ -23,7 +23,7 @@
         return len(self._open)
 
     def is_in_use(self, request_id: str, now: float) -> bool:
-        """Return whether a request of this id may run; `now` is ms on the driver's clock."""
+        """Return whether a request of this id is open or may have run; `now` is ms on the driver's clock."""
         return request_id in self._open or self._kept_until.get(request_id, now) > now
 
     def add(self, request_id: str) -> None:
@@ -35,10 +35,14 @@
         self._open.discard(request_id)
 
     def keep(self, request_id: str, until: float, now: float) -> None:
-        """Keep the id of a request whose client has left until its time is over, in ms."""
+        """Keep the id of a request that may have run until its time is over.
+
+        Args:
+            request_id: the id.
+            until: when its time is over, in ms on the driver's clock.
+            now: those whose time was over then are forgotten.
+        """
         self._kept_until[request_id] = until
         self._kept_until.move_to_end(request_id)
-        while len(self._kept_until) > MAX_KEPT_IDS or next(iter(self._kept_until.values())) <= now:
+        while len(self._kept_until) > MAX_KEPT_IDS or next(iter(self._kept_until.values()), now + 1) <= now:
             self._kept_until.popitem(last=False)
-            if not self._kept_until:
-                return
--- a/mapleshunt/net/request/context.py
+++ b/mapleshunt/net/request/context.py
@@ -74,7 +74,7 @@
         """Return when the client stops waiting, in ms on the driver's clock."""
         return self.received_at + self.request.remaining_time
 
-    def may_still_run(self) -> bool:
+    def may_have_run(self) -> bool:
         """Return whether an attempt has been made that may run, or has run."""
         return any(attempt.status not in events.NEVER_RAN for attempt in self.attempts)
 
@@ -85,6 +85,8 @@
         self.message = None
         if was_awaiting:
             self.client_ids.discard(self.client_request_id)
+            if self.may_have_run():
+                self.client_ids.keep(self.client_request_id, self.deadline, self.received_at)
             self.response_claimed_at = time.monotonic()
         if self.deadline_timer is not None:
             self.deadline_timer.cancel()
