--- a/mapleshunt/net/request/client_ids.py
+++ b/mapleshunt/net/request/client_ids.py
@@ -4,8 +4,8 @@
 
 from collections import OrderedDict
 
-# Ids kept of requests that may have run: the oldest falls out beyond. 4,096 take some 0.6 MB.
-MAX_KEPT_IDS = 4096
+# Ids kept of requests that may have run: the oldest falls out beyond. They take some 0.4 MB.
+MAX_KEPT_IDS = 2048
 
 
 class ClientRequestIds:
