--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -107,6 +107,20 @@
         statuses = await gateway_statuses(self.addresses, FLEET)
         return [leader_status(statuses, group) for group in range(self.groups)]
 
+    async def wait_for_commit(self, gateway: str) -> None:
+        """Wait until a leader of group 0 has just committed all that its log holds, 5 s at most."""
+        from mapleshunt.testbed.replica_client import gateway_statuses, leader_status
+
+        commit, end = -1, time.monotonic() + 5.0
+        while time.monotonic() < end:
+            statuses = await gateway_statuses({gateway: self.addresses[gateway]}, FLEET)
+            status = leader_status(statuses, 0)
+            if status is not None and status["last"] == status["commit"]:
+                if 0 <= commit < status["commit"]:
+                    return
+                commit = status["commit"]
+            await asyncio.sleep(0.02)
+
 
 def voters_of(status: dict[str, Any]) -> set[str]:
     """Return the gateways that vote in a group."""
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -56,12 +56,18 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+_given_ports: set[int] = set()  # by `free_port`, in this process
+
+
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
     """Return a port that nobody uses now, of those that the system gives to no connection by itself."""
     while True:
         port = random.randrange(*PORTS)
+        if port in _given_ports:
+            continue
         with socket.socket(socket.AF_INET, kind) as probe, contextlib.suppress(OSError):
             probe.bind((HOST, port))
+            _given_ports.add(port)
             return port
 
 
