--- a/tests/test_daemon_loads.py
+++ b/tests/test_daemon_loads.py
@@ -26,7 +26,7 @@
 
 
 def test_module_that_is_deferred_is_loaded_at_the_first_use_of_an_attribute() -> None:
-    # Guards against a gateway that holds Tornado's table of character references (0.4 MB), which it never reads.
+    # Guards against a gateway that holds a table of character references (0.4 MB), which it never reads.
     code = (
         "import sys, mapleshunt.__main__, tornado.escape as escape; name = 'html.entities';"
         "before = name in sys.modules; text = escape.xhtml_unescape('&eacute;&amp;');"
