Log a discovery call's age and the time since the last answer when it ends

The log could not tell whether the agent had been silent for long or the calls were ended too early.

--- a/mapleshunt/net/discovery/watcher.py
+++ b/mapleshunt/net/discovery/watcher.py
@@ -57,6 +57,7 @@
         self.first_call_timeout_s = backoff.answer_timeout_ms / 1000
         self.watch_timeout_s = (WATCH_WAIT_MS + SILENCE_TIMEOUT_MS) / 1000
         self.last_answer_at = -math.inf  # s, on the loop's clock
+        self._call_began_at = -math.inf  # s, on the loop's clock
 
     async def run(self) -> None:
         """Watch until cancelled, which closes the connection. When a connection ends, another follows."""
@@ -66,11 +67,20 @@
             self.counters.add("discovery_ended")
             since_answer_ms = (asyncio.get_running_loop().time() - self.last_answer_at) * 1000
             delay_ms = self.backoff.next_delay_ms(since_answer_ms)
-            log.log_event("discovery_ended", reason=end, revision=self.revision, pause=delay_ms)
+            call_age_ms = (asyncio.get_running_loop().time() - self._call_began_at) * 1000
+            log.log_event(
+                "discovery_ended",
+                reason=end,
+                revision=self.revision,
+                pause=delay_ms,
+                age=call_age_ms,
+                since_answer=since_answer_ms,
+            )
             await asyncio.sleep(delay_ms / 1000)
 
     async def _call(self) -> DiscoveryEnd:
         """Connect and make calls until the connection ends; return why it did."""
+        self._call_began_at = asyncio.get_running_loop().time()
         try:
             raw = socket.socket(address_family(self.agent))
             stream = IOStream(raw, max_buffer_size=MAX_STREAM_BUFFER_BYTES)
@@ -138,6 +148,7 @@
             wait_ms = WATCH_WAIT_MS if watching else 0
             path = f"{ENDPOINTS_PATH}?index={self.revision}&wait={wait_ms:.0f}"
         timeout_s = self.watch_timeout_s if watching else self.first_call_timeout_s
+        self._call_began_at = asyncio.get_running_loop().time()
         async with asyncio.timeout(timeout_s):
             await stream.write(http.encode_get(path, f"{self.agent[0]}:{self.agent[1]}"))
             while not (parsed := http.parse_response(buffer.data, buffer.start, buffer.end)):
