--- a/mapleshunt/net/discovery/backoff.py
+++ b/mapleshunt/net/discovery/backoff.py
@@ -1,4 +1,4 @@
-"""The time limits of a watch's calls and the backoff after failed ones, within one time budget.
+"""The time after which calls to discovery are late and the backoff behind them, within one time budget.
 
 No I/O and no clock: the caller passes the random numbers and times.
 """
@@ -11,7 +11,7 @@
 NOTIFICATION_BUDGET_MS = 6000.0
 # How long a call waits for a change; short, so that an agent that stops answering is noticed soon.
 WATCH_WAIT_MS = 1000.0
-# Time to establish a connection; the agent is on this machine.
+# A connection that is not established by then is late; the agent is on this machine.
 DIAL_TIMEOUT_MS = 500.0
 # An agent that has not answered this long after a call's own wait counts as silent.
 SILENCE_TIMEOUT_MS = 500.0
--- a/mapleshunt/server/endpoint_watch.py
+++ b/mapleshunt/server/endpoint_watch.py
@@ -30,6 +30,7 @@
     ) -> None:
         """Create the watch; `follow` starts it."""
         self.task: asyncio.Task[None] | None = None
+        self._watcher: EndpointWatcher | None = None
         self._config = config
         self._driver = driver
         self._upstreams = upstreams
@@ -56,7 +57,6 @@
         self._driver.apply_event(
             self._upstreams.apply_endpoint_list(kind, update.endpoints, self.max_endpoint_age)
         )
-        self._revision = update.revision
         self._last_update_at = asyncio.get_running_loop().time()
         if update.complete or update.endpoints:
             log.log_event("members", kind=kind, revision=update.revision, entries=len(update.endpoints))
@@ -73,22 +73,25 @@
 
     def follow(self, config: Config) -> None:
         """Watch the discovery agent of `config` from now on, in place of the previous one."""
-        if config.discovery_address != self._config.discovery_address:
-            self._revision = None  # another agent may number revisions differently
+        has_moved = config.discovery_address != self._config.discovery_address
         self._config = config
-        if self.task is not None:
-            self.task.cancel()
-        settings = config.settings
-        backoff = Backoff(settings.gateway_count if settings.poll_discovery else 0, self._random)
-        discovery = EndpointWatcher(
-            config.discovery_address,
+        if self._watcher is None:
+            self._start(None if has_moved else self._revision)
+        elif has_moved:
+            self._watcher.follow(config.discovery_address)
+
+    def _start(self, revision: int | None) -> None:
+        """Start to watch, from the list of that revision; None requests the complete list."""
+        settings = self._config.settings
+        self._watcher = EndpointWatcher(
+            self._config.discovery_address,
             self.apply_list,
             self._counters,
-            backoff,
-            self._revision,
+            Backoff(settings.gateway_count if settings.poll_discovery else 0, self._random),
+            revision,
             self._upstreams.memory.hold,
         )
-        self.task = asyncio.get_running_loop().create_task(discovery.run())
+        self.task = asyncio.get_running_loop().create_task(self._watcher.run())
         self.task.add_done_callback(self._watch_ended)
 
     def _watch_ended(self, task: asyncio.Task[None]) -> None:
@@ -99,8 +102,8 @@
             asyncio.get_running_loop().call_later(RESTART_DELAY_S, self._restart, task)
 
     def _restart(self, ended_task: asyncio.Task[None]) -> None:
-        if ended_task is self.task:
-            self.follow(self._config)
+        if ended_task is self.task and self._watcher is not None:
+            self._start(self._watcher.revision)
 
     async def close(self) -> None:
         """End the watch and wait for it. Cancelling this leaves the watch to end by itself."""
