Take a list without a length as complete when its connection ends in order

Cause: the parser refused every response with neither a length nor chunks, so each answer counted as a malformed list. By HTTP/1.1 (RFC 9112, 6.3) such a body ends with its connection.

Change: it is complete once the connection has ended by an orderly close; after a reset, or if what came is no complete list, it is refused as before. The call behind it goes out at once on a new connection and continues the watch, so that such an agent is called no more often than others.

--- a/mapleshunt/net/discovery/connection.py
+++ b/mapleshunt/net/discovery/connection.py
@@ -5,7 +5,7 @@
 import socket
 from collections.abc import Callable
 
-from tornado.iostream import IOStream
+from tornado.iostream import IOStream, StreamClosedError
 
 from ..config import Address, address_family
 from ..protocol import http
@@ -49,7 +49,14 @@
         buffer = self._buffer
         await self._stream.write(http.encode_get(path, f"{self.agent[0]}:{self.agent[1]}"))
         while not (parsed := http.parse_response(buffer.data, buffer.start, buffer.end)):
-            await buffer.fill(self._stream)
+            try:
+                await buffer.fill(self._stream)
+            except StreamClosedError as closed:
+                is_reset = closed.real_error is not None
+                parsed = http.parse_response(buffer.data, buffer.start, buffer.end, not is_reset)
+                if parsed is None:
+                    raise
+                break
         buffer.consume(parsed[1])
         return parsed[0]
 
--- a/mapleshunt/net/protocol/http.py
+++ b/mapleshunt/net/protocol/http.py
@@ -75,9 +75,14 @@
     return position if position >= 0 else None
 
 
-def parse_response(data: bytearray, start: int, end: int) -> tuple[Response, int] | None:
+def parse_response(
+    data: bytearray, start: int, end: int, has_ended: bool = False
+) -> tuple[Response, int] | None:
     """Parse a response.
 
+    A body without a length and not in chunks ends with its connection (RFC 9112, 6.3): it is complete once
+    `has_ended`, which says that the connection has ended behind these bytes in an orderly way, by no reset.
+
     Returns:
         The response and where it ends, or None until it is complete.
 
@@ -91,6 +96,10 @@
     if fields.get("transfer-encoding", "").lower() == "chunked":
         chunked_body = _parse_chunked_body(data, position, end)
         return chunked_body and (Response(status, chunked_body[0], keep_alive), chunked_body[1])
+    if "content-length" not in fields and "transfer-encoding" not in fields:
+        if end - position > MAX_BODY_BYTES:
+            raise ProtocolError(f"a body without a length exceeds {MAX_BODY_BYTES} bytes")
+        return (Response(status, memoryview(data)[position:end], False), end) if has_ended else None
     size = fields.get("content-length", "")
     if not (size.isascii() and size.isdigit()) or int(size) > MAX_BODY_BYTES:
         raise ProtocolError(f"Content-Length is missing, malformed or above {MAX_BODY_BYTES}")
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -7,6 +7,8 @@
 import json
 import random
 import resource
+import socket
+import struct
 from dataclasses import replace
 from typing import cast
 
@@ -246,6 +248,49 @@
     assert counts["discovery_late"] == counts["discovery_late_answers"] == 1 and not counts["discovery_ended"]
 
 
+def test_list_without_length_is_used_once_its_connection_ends_but_not_after_a_reset() -> None:
+    # Guards against an agent whose answers have no length never being learnt from.
+    updates: list[int] = []
+
+    async def run() -> list[str]:
+        agent = Agent()
+        server = await agent.start()
+        discovery = EndpointWatcher(
+            server.sockets[0].getsockname(),
+            lambda update: updates.append(update.revision),
+            Counters(),
+            ShortBackoff(0, random.Random(1)),
+            41,
+        )
+        task = asyncio.create_task(discovery.run())
+        paths = []
+        for revision, is_reset in ((42, True), (43, False), (44, False)):
+            path, writer = await agent.calls.get()
+            paths.append(path)
+            head, _, body = encode_answer(revision, False).partition(b"\r\n\r\n")
+            writer.write(head.split(b"\r\n")[0] + b"\r\n\r\n" + body)
+            await writer.drain()
+            if is_reset:
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
+                await asyncio.sleep(0.05)  # the gateway has read it all by the time of the reset
+            writer.close()
+        async with asyncio.timeout(20):
+            while len(updates) < 2:
+                await asyncio.sleep(0)
+        task.cancel()
+        server.close()
+        return paths
+
+    assert asyncio.run(run()) == [
+        "/catalog/members?index=41&wait=0",
+        "/catalog/members?index=41&wait=0",
+        f"/catalog/members?index=43&wait={WATCH_WAIT_MS:.0f}",  # it continues the watch, at no more calls
+    ]
+    assert updates == [43, 44]
+
+
 def test_older_list_that_arrives_after_a_newer_one_is_not_applied() -> None:
     # Guards against an endpoint that drains being taken for ready again: two calls are out, and the list of
     # the later one was made before that of the earlier.
