--- a/mapleshunt/net/discovery/watcher.py
+++ b/mapleshunt/net/discovery/watcher.py
@@ -76,6 +76,10 @@
         self.schedule.follow(self._now_ms())
         self._wakeup.set()
 
+    def since_answer_ms(self) -> float:
+        """Return the time in ms since the last answer; infinite if there was none."""
+        return self._now_ms() - self.schedule.last_answer_at_ms
+
     def _now_ms(self) -> float:
         return asyncio.get_running_loop().time() * 1000
 
@@ -194,7 +198,7 @@
         return {
             "revision": self.revision,
             "age": now_ms - call.started_at_ms,
-            "since_answer": now_ms - self.schedule.last_answer_at_ms,
+            "since_answer": self.since_answer_ms(),
             "bytes": connection.received_bytes() if connection else 0,
             "calls": len(self.schedule.calls),
         }
--- a/mapleshunt/server/endpoint_watch.py
+++ b/mapleshunt/server/endpoint_watch.py
@@ -71,6 +71,10 @@
         since_update = 1000 * (asyncio.get_running_loop().time() - self._last_update_at)
         return min(self._driver.now.age(started_at_ms), since_update + NOTIFICATION_BUDGET_MS)
 
+    def since_answer_ms(self) -> float:
+        """Return the ms since discovery last answered a call; infinite before the first answer."""
+        return self._watcher.since_answer_ms() if self._watcher is not None else math.inf
+
     def follow(self, config: Config) -> None:
         """Watch the discovery agent of `config` from now on, in place of the previous one."""
         has_moved = config.discovery_address != self._config.discovery_address
--- a/mapleshunt/server/gateway_server.py
+++ b/mapleshunt/server/gateway_server.py
@@ -85,7 +85,13 @@
         self.controller = LifecycleController(self.lifecycle, self.connections, self.driver, self.counters)
         self.gossip = GossipPort(self.driver, self.counters, shared=config.accept_fd is not None)
         self._monitoring = Monitoring(
-            self.counters, self.connections, self.upstreams, self.driver, self.memory, config.memory_bytes
+            self.counters,
+            self.connections,
+            self.upstreams,
+            self.driver,
+            self.memory,
+            config.memory_bytes,
+            self.endpoint_watch.since_answer_ms,
         )
         self.admin: AdminEndpoint | None = None
         self.takeover: Takeover | None = None
--- a/mapleshunt/server/monitoring.py
+++ b/mapleshunt/server/monitoring.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
 from ..net import log
 from ..net.client.connections import ClientConnections
@@ -27,11 +28,13 @@
         driver: PolicyDriver,
         memory: MemoryBudget,
         memory_bytes: int,
+        since_discovery_answer_ms: Callable[[], float],
     ) -> None:
         """Store the sources of the counters and gauges; timers and signals call the methods.
 
         `memory_bytes` is the process's limit on memory.
         """
+        self._since_discovery_answer_ms = since_discovery_answer_ms
         self._counters = counters
         self._connections = connections
         self._upstreams = upstreams
@@ -46,6 +49,7 @@
             open=len(self._driver.open_requests),
             client_connections_now=len(self._connections.connections),
             server_connections_now=len(self._upstreams.connections),
+            discovery_since_answer=self._since_discovery_answer_ms(),
             **self._memory_gauges(private_bytes() or 0),
             **self._driver.gateway.stats(self._driver.now()),
         )
