Soak: answers of discovery that are late, during which changes have to be known

The new kind discovery_late delays each answer by 2.5 s for 2 to 12 s, and a change counts after 6 s all the same.

The end is told apart by its own time now.

--- a/mapleshunt/testbed/soak/fault_injection.py
+++ b/mapleshunt/testbed/soak/fault_injection.py
@@ -28,6 +28,8 @@
 )
 MAX_IDLE_CLIENT_TARGETS = 2  # gateways per fault
 CALLING_IDLE_FRACTION = 0.3  # of the idle clients that send one command
+LATE_ANSWER_S = 2.5  # of each answer of discovery while it is late
+LATE_DURATION_FACTOR = 4.0  # a change has to be known while answers are late
 IDLE_CLIENTS = 150  # that connect to a gateway at once, above its limit of client connections
 
 
@@ -38,6 +40,7 @@
     discovery_down_since: dict[int, float]  # by gateway, while its discovery is down
     discovery_impairments: dict[int, int]  # by gateway: faults that slow or refuse its discovery
     discovery_repaired_at: dict[int, float]  # by gateway: end of the last such fault
+    discovery_late_until: dict[int, float]  # by gateway: until when its discovery's answers are late
     replicas: SoakReplicas
 
     def _replica_proxies(self, fault: ScheduledFault) -> list[FaultProxy]:
@@ -180,6 +183,22 @@
         proxy.from_target.delay_s, proxy.from_target.piece_bytes = 0.0, 65536
         self._repair_discovery(number)
 
+    def _inject_discovery_late(self, fault: ScheduledFault) -> None:
+        """Have each answer arrive late; unlike with a slow discovery, changes have to be known meanwhile."""
+        duration_s = LATE_DURATION_FACTOR * fault.duration_s
+        for number in fault.targets:
+            until = self.now() + 1000 * duration_s
+            self.discovery_late_until[number] = max(until, self.discovery_late_until.get(number, 0.0))
+            for agent in (cast(SoakDiscoveryAgent, self.agents[number]), self.spare_agents[number]):
+                agent.proxy.from_target.delay_s = LATE_ANSWER_S
+            self._call_later(duration_s, self._end_late_discovery, number, until)
+
+    def _end_late_discovery(self, number: int, until: float) -> None:
+        if until < self.discovery_late_until[number]:
+            return  # another such fault goes on
+        for agent in (cast(SoakDiscoveryAgent, self.agents[number]), self.spare_agents[number]):
+            agent.proxy.from_target.delay_s = 0.0
+
     def _inject_discovery_refuses(self, fault: ScheduledFault) -> None:
         for number in fault.targets:
             self._impair_discovery(number)
--- a/mapleshunt/testbed/soak/fleet.py
+++ b/mapleshunt/testbed/soak/fleet.py
@@ -38,7 +38,7 @@
 from .backends import SoakBackend
 from .clients import LATE_ANSWER_LIMIT_MS, SoakClients
 from .discovery_agent import SoakDiscoveryAgent
-from .fault_injection import FaultInjectedFleet
+from .fault_injection import LATE_ANSWER_S, FaultInjectedFleet
 from .process_faults import KILL_DURATION_MS, TERMINATION_MARGIN_MS
 from .replicas import SoakReplicas
 from .report import SoakReport
@@ -93,8 +93,9 @@
             self.discovery_down_since,
             self.discovery_impairments,
             self.discovery_repaired_at,
+            self.discovery_late_until,
             self.discovery_moved_at,
-        ) = {}, {}, {}, {}
+        ) = {}, {}, {}, {}, {}
         self.fault_rates, self.upgrading, self.drained = {}, set(), set()
         self.lag_samples: list[tuple[float, float]] = []
         self.last_lag_sample_at = time.monotonic()  # see `_measure_lag`
@@ -222,7 +223,8 @@
         """Count a gateway as notified of an entry at once, even if no watch is open or no answer arrives.
 
         A change during an outage of discovery counts at its end, one while discovery is slow or refuses calls
-        6 s after the end of that, and the entries of another agent count 4 s after the move to it.
+        6 s after the end of that, one while its answers are late after 6 s, and the entries of another agent
+        count 4 s after the move to it.
         """
         now = self.now()
         if gateway in self.discovery_down_since or gateway in self.discovery_impairments:
@@ -231,8 +233,10 @@
             self.discovery_moved_at.get(gateway, -NOTIFIED_AFTER_MOVE_MS),
             self.discovery_repaired_at.get(gateway, -NOTIFIED_WITHIN_MS),
         )
+        late_until = self.discovery_late_until.get(gateway)
+        is_late = late_until is not None and since <= late_until + 1000 * LATE_ANSWER_S
         due = max(
-            since,
+            since + NOTIFIED_WITHIN_MS if is_late else since,
             moved + NOTIFIED_AFTER_MOVE_MS,
             repaired + NOTIFIED_WITHIN_MS if repaired >= since else since,
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,11 @@
     "resting_clients",
 )  # fmt: skip
 
+# Backends that drain while each answer of discovery takes 2.5 s, and reloads in the middle.
+LATE_DISCOVERY_FAULTS: tuple[schedule.FaultKind, ...] = (
+    "discovery_late", "backend_drain", "backend_add", "reload",
+)  # fmt: skip
+
 CONNECT_SCRIPT = """
 import socket, sys
 failed = 0
@@ -81,6 +86,15 @@
     assert report.violations == [] and report.starts + report.upgrades > 2
 
 
+@pytest.mark.parametrize("seed", [2, 3])
+def test_nothing_is_sent_to_draining_backends_while_discovery_answers_late(tmp_path: Path, seed: int) -> None:
+    # Guards against calls to discovery that are given up, or ended by a reload, before they are answered.
+    report = soak.run_soak(
+        seed, tmp_path, gateways=4, backends=12, rate=80.0, seconds=24.0, only=LATE_DISCOVERY_FAULTS
+    )
+    assert report.violations == [] and report.answers["served"] > 500
+
+
 def test_load_above_capacity_is_an_error(tmp_path: Path) -> None:
     with pytest.raises(ValueError, match=r"requests a second are .* of what 2 backends serve"):
         soak.run_soak(1, tmp_path, gateways=3, backends=2, rate=500.0, seconds=14.0)
