Count the answer to a session's operation though it was sent again meanwhile

Cause: LeaseSession._send and ProposalSession._send gave up the request before when they sent the operation again. Each answer came after its request had been given up, and none ever counted.

Change: all requests of an operation count until it has a result or runs out of time; then all are given up. A session applies an operation once, whichever request brought it, so that each answer is the right one.

--- a/mapleshunt/net/maintenance/proposal_session.py
+++ b/mapleshunt/net/maintenance/proposal_session.py
@@ -37,7 +37,8 @@
         self._requests = requests
         self._group = group
         self._last_number = 0
-        self._request = 0  # the number of the last request at `LocalRequests`
+        # Numbers at `LocalRequests`, one for each time that the operation in flight was sent.
+        self._sent_requests: list[int] = []
         self._next_send_at = 0.0  # s
         self._in_flight = b""  # the command that has no response yet; empty if there is none
         self._waiting: deque[Proposal] = deque()  # the first is in flight, once the session is open
@@ -67,12 +68,13 @@
             self._send(now)
 
     def _send(self, now: float) -> None:
+        """Send the operation, perhaps again: the answer to each time counts, as a session applies it once."""
         self._next_send_at = now + RETRY_INTERVAL_S
-        self._requests.abandon(self._request)
         number, to = self._last_number, self._requests.leader_of(self._group)
-        self._request = self._requests.send(
+        request = self._requests.send(
             self._group, self._in_flight, to, lambda response: self._responded(number, response)
         )
+        self._sent_requests.append(request)
 
     def _responded(self, number: int, response: wire.ClientResponse) -> None:
         if number != self._last_number or not self._in_flight:
@@ -83,6 +85,9 @@
             self._next_send_at = min(self._next_send_at, now + REFUSED_RETRY_DELAY_S)
             return
         self._in_flight, self._next_send_at = b"", now
+        for request in self._sent_requests:
+            self._requests.abandon(request)
+        self._sent_requests.clear()
         self._finish(decode_result(response.data), now)
         self.tick(now)
 
--- a/mapleshunt/net/replication/lease_session.py
+++ b/mapleshunt/net/replication/lease_session.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ...replicated_state import commands
 from ...replicated_state.leases import ProposeOperation
@@ -32,7 +32,9 @@
     proposal: ProposeOperation | None
     deadline: float  # s, on the loop's clock
     next_send_at: float  # s
-    request: int = 0  # its number at `LocalRequests`
+    requests: list[int] = field(
+        default_factory=list
+    )  # numbers at `LocalRequests`: one for each time it was sent
 
 
 @dataclass(slots=True, frozen=True)
@@ -83,14 +85,15 @@
             self._send(number)
 
     def _send(self, number: int) -> None:
+        """Send an operation, perhaps again: the answer to each time counts, as it is applied once."""
         pending = self._pending[number]
-        self._requests.abandon(pending.request)
         pending.next_send_at = _now() + RETRY_INTERVAL_S
         to = self._leader_hint or self._requests.leader_of(self.group)
         self._leader_hint = ""
-        pending.request = self._requests.send(
+        request = self._requests.send(
             self.group, pending.command, to, lambda response: self._responded(number, response)
         )
+        pending.requests.append(request)
 
     def _responded(self, number: int, response: wire.ClientResponse) -> None:
         pending = self._pending.get(number)
@@ -107,14 +110,14 @@
         elif isinstance(result, Denied) and result.reason == "session":
             self._handlers.on_session_dropped(self)
         else:
-            del self._pending[number]
+            self._remove(number)
             self._handlers.on_result(pending.proposal, result)
 
     def _open_responded(self, number: int, result: Result, now: float) -> None:
         """Mark the session as open; if the group is out of sessions, schedule another attempt."""
         if isinstance(result, Applied):
             self._is_open = True
-            del self._pending[number]
+            self._remove(number)
         else:
             self._counters.add("leases_session_denied")
             self._pending[number].next_send_at = now + OPEN_RETRY_DELAY_S
@@ -125,8 +128,7 @@
             if number not in self._pending:
                 continue  # a handler has abandoned the session
             if now >= pending.deadline and pending.proposal is not None:
-                del self._pending[number]
-                self._requests.abandon(pending.request)
+                self._remove(number)
                 self._counters.add("leases_unanswered")
                 self._handlers.on_result(pending.proposal, None)
             elif now >= pending.next_send_at and (self._is_open or pending.proposal is None):
@@ -134,10 +136,15 @@
 
     def abandon(self) -> list[ProposeOperation]:
         """Stop waiting for responses, and return the proposals without a result."""
-        abandoned, self._pending = self._pending, {}
-        for pending in abandoned.values():
-            self._requests.abandon(pending.request)
-        return [operation.proposal for operation in abandoned.values() if operation.proposal is not None]
+        abandoned = [self._remove(number) for number in list(self._pending)]
+        return [operation.proposal for operation in abandoned if operation.proposal is not None]
+
+    def _remove(self, number: int) -> PendingOperation:
+        """Remove an operation and stop waiting for responses to it."""
+        pending = self._pending.pop(number)
+        for request in pending.requests:
+            self._requests.abandon(request)
+        return pending
 
 
 def _now() -> float:
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -203,6 +203,43 @@
     asyncio.run(run())
 
 
+def test_answer_that_takes_longer_than_the_interval_of_retries_counts_for_maintenance() -> None:
+    # Guards against a group that is always a bit slower than the retries: each one gave up the answer to the
+    # time before, and no operation ever had a result.
+    async def run() -> None:
+        group, results = FakeGroup(), list[Result]()
+        session = ProposalSession(group, 0)  # type: ignore[arg-type]
+        session.propose(w.SetRecord("a", "1", 0), results.append)
+
+        def answer_what_was_sent_again() -> None:
+            session.tick(group.now())
+            if len(group.calls) > 1:
+                group.answer(min(group.calls))
+
+        await wait_until(lambda: bool(results), answer_what_was_sent_again)
+        assert results == [Applied(1.0)]
+
+    asyncio.run(run())
+
+
+def test_answer_that_takes_longer_than_the_interval_of_retries_counts_for_leases() -> None:
+    # Guards against leases that are never granted by a group that is always a bit slower than the retries.
+    async def run() -> None:
+        group, driver = FakeGroup(), FakePolicyDriver()
+        leases = LeaseClient(group, 1, driver, Counters())  # type: ignore[arg-type]
+        leases.start()
+
+        def answer_what_was_sent_again() -> None:
+            submit_request(leases, "c0")
+            if len(group.calls) > 1:
+                group.answer(min(group.calls))
+
+        await wait_until(lambda: any(grant.lease_id for grant in driver.grants), answer_what_was_sent_again)
+        leases.close()
+
+    asyncio.run(run())
+
+
 def test_session_that_a_full_group_denies_is_opened_later(monkeypatch: pytest.MonkeyPatch) -> None:
     """Until then no operation is sent: each one would be denied, at the cost of a log entry."""
 
