--- a/mapleshunt/net/discovery/call_schedule.py
+++ b/mapleshunt/net/discovery/call_schedule.py
@@ -59,10 +59,9 @@
         self.next_call_at_ms = math.inf
         self.last_answer_at_ms = -math.inf
         self.answer_time_ms = 0.0  # which the last answer took beyond the wait of its call
-        self.watch_late_ms = (
-            WATCH_WAIT_MS + SILENCE_TIMEOUT_MS
-        )  # after which a call of a watch is late at the least
-        self.first_late_ms = backoff.answer_timeout_ms  # the same for other calls
+        # A call is late no sooner than this after its connection was established.
+        self.watch_late_ms = WATCH_WAIT_MS + SILENCE_TIMEOUT_MS
+        self.first_late_ms = backoff.answer_timeout_ms  # of a call that does not continue a watch
         self._backoff = backoff
         self._agent_number = 0
         self._call_count = 0
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -192,6 +192,17 @@
         return await asyncio.start_server(self.serve, "127.0.0.1", 0)
 
 
+def watcher_from_revision_41(server: asyncio.Server, updates: list[int]) -> EndpointWatcher:
+    """Return a watcher of that agent that knows revision 41, and adds those that it applies to `updates`."""
+    return EndpointWatcher(
+        server.sockets[0].getsockname(),
+        lambda update: updates.append(update.revision),
+        Counters(),
+        ShortBackoff(0, random.Random(1)),
+        41,
+    )
+
+
 def test_list_that_is_being_read_counts_as_held_until_its_call_ends() -> None:
     changes: list[int] = []
 
@@ -255,13 +266,7 @@
     async def run() -> list[str]:
         agent = Agent()
         server = await agent.start()
-        discovery = EndpointWatcher(
-            server.sockets[0].getsockname(),
-            lambda update: updates.append(update.revision),
-            Counters(),
-            ShortBackoff(0, random.Random(1)),
-            41,
-        )
+        discovery = watcher_from_revision_41(server, updates)
         task = asyncio.create_task(discovery.run())
         paths = []
         for revision, is_reset in ((42, True), (43, False), (44, False)):
@@ -299,13 +304,7 @@
     async def run() -> list[str]:
         agent = Agent()
         server = await agent.start()
-        discovery = EndpointWatcher(
-            server.sockets[0].getsockname(),
-            lambda update: updates.append(update.revision),
-            Counters(),
-            ShortBackoff(0, random.Random(1)),
-            41,
-        )
+        discovery = watcher_from_revision_41(server, updates)
         discovery.schedule.first_late_ms = 50.0
         task = asyncio.create_task(discovery.run())
         first, second = [(await agent.calls.get())[1] for _ in range(2)]
