Count the answer to a read of the maintenance job though it was read again meanwhile

Callers would see: a machine that is granted maintenance and never drains, where its coordinator takes over 0.2 s for a read.

Cause: Machine._poll reads the job every 0.2 s while one is open, and gave up the read before each time.

Change: reads stay out, for the 10 s that a call has; an answer counts unless a read that began later was answered before it, so that no older job is followed.

Failed before: the new test (no drain). Not played on processes beyond the suite.

--- a/mapleshunt/net/maintenance/machine.py
+++ b/mapleshunt/net/maintenance/machine.py
@@ -47,7 +47,7 @@
         self._move_replicas = False  # the job needs the replicas migrated
         self._has_open_jobs = False  # any machine has an open job
         self._polled_at = float("-inf")  # s
-        self._request = 0  # the number of the last read
+        self._answered_poll_at = float("-inf")  # s; when the read that `_job` comes from began
 
     def tick(self, now: float) -> None:
         """Poll the job if it is due, and carry out the agent's actions."""
@@ -58,9 +58,9 @@
             self._follow_agent(now)
 
     def _poll(self, now: float) -> None:
+        """Read the job. Earlier reads stay out: their answers count until a later one is answered."""
         self._polled_at = now
-        self._requests.abandon(self._request)
-        self._request = self._requests.send(
+        self._requests.send(
             0,
             b"",
             self._requests.leader_of(0),
@@ -74,6 +74,9 @@
             retry_at = self._requests.now() - IDLE_POLL_INTERVAL_S + REFUSED_POLL_DELAY_S
             self._polled_at = min(self._polled_at, retry_at)
             return
+        if polled_at < self._answered_poll_at:
+            return
+        self._answered_poll_at = polled_at
         stamp, job, self._move_replicas, self._has_open_jobs = JOB_DECODER.decode(response.data)
         if job is not None and (self._job is None or self._job.state != job.state):
             log.log_event(
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -9,13 +9,16 @@
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 
 from mapleshunt import Plan
+from mapleshunt.maintenance.records import JobState, MachineJob
 from mapleshunt.net.counters import Counters
+from mapleshunt.net.maintenance.machine import Machine
 from mapleshunt.net.maintenance.proposal_session import ProposalSession
 from mapleshunt.net.replication.leases import LeaseClient
-from mapleshunt.net.replication.local_calls import CALL_TIMEOUT_S, LocalCalls
+from mapleshunt.net.replication.local_calls import CALL_TIMEOUT_S, LocalCalls, OnResponse
 from mapleshunt.policy import QuotaLeaseGranted, RequestReceived, Settings
 from mapleshunt.replicated_state import commands as w
 from mapleshunt.replicated_state import state_machine
@@ -240,6 +243,48 @@
     asyncio.run(run())
 
 
+def test_read_of_the_maintenance_job_that_takes_longer_than_the_interval_of_reads_counts() -> None:
+    # Guards against a machine that never drains: each read of its job gave up the answer to the one before.
+    callbacks: list[OnResponse] = []
+    drains: list[bool] = []
+    occupancy = SimpleNamespace(open_requests=0, client_connections=0, is_drained=False)
+
+    def send(_group: int, _command: bytes, _to: str, on_response: OnResponse, _read: str) -> int:
+        callbacks.append(on_response)
+        return len(callbacks)
+
+    def abandon(number: int) -> None:
+        if number:
+            callbacks[number - 1] = lambda _: None
+
+    requests = SimpleNamespace(send=send, abandon=abandon, leader_of=lambda _: "g0")
+    replication = SimpleNamespace(
+        requests=requests,
+        gateway="g0",
+        groups=SimpleNamespace(hosts={}),
+        knowledge=SimpleNamespace(replica=lambda: "g0/1"),
+    )
+    sessions = SimpleNamespace(at=lambda _: SimpleNamespace(is_busy=lambda: True))
+    controls = SimpleNamespace(occupancy=lambda: occupancy, drain=lambda: drains.append(True))
+    machine = Machine(replication, sessions, controls)  # type: ignore[arg-type]
+
+    def answer(number: int, state: str) -> None:
+        job = MachineJob("g0", "r", state, fencing_token=1, expires_at=20_000.0)
+        data = msgspec.msgpack.encode((0.0, job, False, True))
+        callbacks[number](wire.ClientResponse(number, "done", "", data))
+
+    machine.tick(0.0)
+    machine.tick(1.0)
+    answer(0, JobState.GRANTED)
+    machine.tick(1.1)
+    assert drains == [True]
+    machine.tick(2.0)
+    answer(2, JobState.DRAINING)
+    answer(1, JobState.QUEUED)  # of a read that began before the one that was answered
+    machine.tick(2.1)
+    assert drains == [True]
+
+
 def test_session_that_a_full_group_denies_is_opened_later(monkeypatch: pytest.MonkeyPatch) -> None:
     """Until then no operation is sent: each one would be denied, at the cost of a log entry."""
 
