--- a/benchmarks/told.py
+++ b/benchmarks/told.py
@@ -1,8 +1,7 @@
 """Time from the loss of all watches until each gateway is notified by a discovery that serves calls in turn.
 
 Virtual time. `silent`: all watches fall silent at once; `reset`: all are reset; `moved`: a new configuration
-names another agent. Where lists are pushed, the agent on each machine answers by itself. A call that times
-out has taken up the service_time_ms all the same.
+names another agent. Where lists are pushed, the agent on each machine answers by itself.
 
     .venv/bin/python -m benchmarks.told [SEEDS]
 """
@@ -13,14 +12,23 @@
 import random
 import statistics
 import sys
+from dataclasses import dataclass
 
 from mapleshunt.net.discovery.backoff import (
     NOTIFICATION_BUDGET_MS,
     SERVICE_TIME_MS,
-    SILENCE_TIMEOUT_MS,
     WATCH_WAIT_MS,
     Backoff,
 )
+from mapleshunt.net.discovery.call_schedule import Call, CallSchedule
+
+
+@dataclass(slots=True)
+class WatchingGateway:
+    """A gateway whose watch is lost."""
+
+    schedule: CallSchedule
+    is_notified: bool = False
 
 
 def notification_times(
@@ -31,39 +39,56 @@
     `service_time_ms` is that of a call, 0 where lists are pushed.
     """
     rng = random.Random(seed)
-    backoffs = [Backoff(gateways if service_time_ms else 0, rng) for _ in range(gateways)]
-    calls: list[tuple[float, int, float]] = []  # start, gateway, and time of its last answer
-    for number, backoff in enumerate(backoffs):
-        last_answer_at = -rng.uniform(0.0, WATCH_WAIT_MS)
-        if loss == "moved":
-            at = backoff.initial_delay_ms()
-        else:
-            noticed_at = last_answer_at + WATCH_WAIT_MS + SILENCE_TIMEOUT_MS if loss == "silent" else 0.0
-            at = noticed_at + backoff.next_delay_ms(noticed_at - last_answer_at)
-        calls.append((at, number, last_answer_at))
-    heapq.heapify(calls)
+    fleet = [
+        WatchingGateway(_lost_watch(Backoff(gateways if service_time_ms else 0, rng), loss, rng))
+        for _ in range(gateways)
+    ]
+    due = [(gateway.schedule.next_event_at_ms(), number) for number, gateway in enumerate(fleet)]
+    heapq.heapify(due)
+    answers: list[tuple[float, int, Call]] = []  # time, gateway and call
     service_free_at, notified_at, started_at = 0.0, list[float](), list[float]()
-    while calls:
-        at, number, last_answer_at = heapq.heappop(calls)
-        started_at.append(at)
-        service_free_at = (max(service_free_at, at) if service_time_ms else at) + service_time_ms
-        if service_free_at - at <= backoffs[number].answer_timeout_ms:
-            notified_at.append(service_free_at)
-        else:
-            timeout_at = at + backoffs[number].answer_timeout_ms
-            heapq.heappush(
-                calls,
-                (
-                    timeout_at + backoffs[number].next_delay_ms(timeout_at - last_answer_at),
-                    number,
-                    last_answer_at,
-                ),
-            )
+    while len(notified_at) < gateways:
+        if answers and answers[0][0] <= due[0][0]:
+            now, number, call = heapq.heappop(answers)
+            gateway = fleet[number]
+            if not gateway.is_notified and call in gateway.schedule.calls:
+                gateway.is_notified = True
+                notified_at.append(now)
+            continue
+        now, number = heapq.heappop(due)
+        gateway = fleet[number]
+        if gateway.is_notified:
+            continue
+        schedule = gateway.schedule
+        schedule.take_late(now)
+        schedule.take_expired(now)
+        if schedule.is_due(now):
+            call = schedule.begin(now, 1)
+            schedule.connected(call, now)
+            started_at.append(now)
+            service_free_at = (max(service_free_at, now) if service_time_ms else now) + service_time_ms
+            heapq.heappush(answers, (service_free_at, number, call))
+        heapq.heappush(due, (schedule.next_event_at_ms(), number))
     started_at.sort()
     calls_per_s = max(sum(start <= other < start + 1000 for other in started_at) for start in started_at)
     return notified_at, calls_per_s
 
 
+def _lost_watch(backoff: Backoff, loss: str, rng: random.Random) -> CallSchedule:
+    """Return the calls of a gateway whose watch was answered last up to 1 s ago, and is lost at 0 ms."""
+    schedule = CallSchedule(backoff)
+    last_answer_at = -rng.uniform(0.0, WATCH_WAIT_MS)
+    call = schedule.begin(last_answer_at, 1)
+    schedule.connected(call, last_answer_at)
+    schedule.answered(call, last_answer_at)
+    schedule.repeat(call, last_answer_at, 1)
+    if loss == "reset":
+        schedule.failed(call, 0.0)
+    elif loss == "moved":
+        schedule.follow(0.0)
+    return schedule
+
+
 def main() -> None:
     """Print the times and rates by fleet, service time and kind of loss."""
     seeds = range(int(sys.argv[1]) if len(sys.argv) > 1 else 20)
