--- a/tests/test_client_listener.py
+++ b/tests/test_client_listener.py
@@ -18,7 +18,7 @@
 from mapleshunt.net.counters import Counters
 from mapleshunt.net.request.context import RequestContext
 
-from .in_process import gateway_server, wait_until
+from .in_process import WAIT_TIMEOUT_S, gateway_server, wait_until
 from .processes import PING, query
 
 
@@ -51,9 +51,10 @@
         clients = [socket.create_connection(address) for _ in range(connections_per_s)]
         server.clients.start_accepting()
         turns = 0
-        while len(server.connections.connections) < connections_per_s:
-            await asyncio.sleep(0)
-            turns += 1
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while len(server.connections.connections) < connections_per_s:
+                await asyncio.sleep(0)
+                turns += 1
         for client in clients:
             client.close()
         server.stop_requested.set()
