Reuse a connection 25 ms after a reply, and later where bytes behind replies came later

Cause: a connection was reused 10 ms after a reply if no byte had come by then, and nothing ties a reply to its request. A copy that came after the next command had been written was taken for that command's reply.

Change: reuse waits 25 ms, twice the longest time of the case and a little more; an endpoint's process whose bytes came later than half of that is given twice the longest time that was seen, at most 1 s. malformed_reply says how late the bytes were. The model of the fleet waits as long.

Why it works: a copy sent 12 ms after the reply at the latest, and not once a command has arrived, is there before the connection is reused, and the look before reuse finds it. It rests on a figure: a first copy that is later than 25 ms is still served wrongly.

--- a/mapleshunt/net/upstream/connection.py
+++ b/mapleshunt/net/upstream/connection.py
@@ -34,6 +34,11 @@
 # A reused connection that ends this soon after a command counts as closed by the endpoint before it.
 STALE_RESET_WITHIN_S = 0.02
 CLOSED_BY_ENDPOINT = (UpstreamCloseReason.ENDPOINT_CLOSED, UpstreamCloseReason.ENDPOINT_RESET)
+# Between a reply and the next attempt on its connection: a second copy of a reply may come milliseconds late,
+# and nothing in the protocol ties a reply to its command.
+REUSE_DELAY_S = 0.025
+REUSE_DELAY_FACTOR = 2.0  # of the longest time from a reply to bytes behind it that an endpoint has shown
+MAX_REUSE_DELAY_S = 1.0  # bytes that come later have another cause, such as the end of the connection
 # Four of the longest replies: no well-formed reply overruns the stream's own buffer.
 MAX_STREAM_BUFFER_BYTES = 4 * resp.MAX_MESSAGE_BYTES
 
@@ -60,12 +65,22 @@
         idle: Its idle connections, the most recently used last.
         listed_as: Number of the update in which its process, by address and start, was first listed.
         is_replaced: Whether another process has come up at its address since then.
+        longest_extra_s: Longest time in s seen from a reply of this process to bytes behind it.
     """
 
     endpoint: Endpoint
     idle: list[UpstreamConnection] = field(default_factory=list)
     listed_as: int = 0
     is_replaced: bool = False
+    longest_extra_s: float = 0.0
+
+    def reuse_delay_s(self) -> float:
+        """Return how long after a reply its connection is not reused, in s."""
+        return max(REUSE_DELAY_S, min(MAX_REUSE_DELAY_S, REUSE_DELAY_FACTOR * self.longest_extra_s))
+
+    def extra_bytes_seen(self, since_reply_s: float) -> None:
+        """Record bytes that followed a reply after so many s."""
+        self.longest_extra_s = max(self.longest_extra_s, since_reply_s)
 
     @property
     def address(self) -> Address:
@@ -136,11 +151,19 @@
         if self.stream.closed() or self.buffer.has_completed_read():
             return False
         try:
-            self.stream.socket.recv(1, socket.MSG_PEEK)
+            has_extra_bytes = bool(self.stream.socket.recv(1, socket.MSG_PEEK))
         except OSError as error:
             return error.errno in (errno.EAGAIN, errno.EWOULDBLOCK)
+        if has_extra_bytes:
+            self._record_extra_bytes()
         return False
 
+    def _record_extra_bytes(self) -> float:
+        """Record bytes that came while the connection was idle; return the s since the last reply."""
+        since_reply_s = asyncio.get_running_loop().time() - self.idle_since
+        self.pool.extra_bytes_seen(since_reply_s)
+        return since_reply_s
+
     async def exchange(
         self, data: bytes, on_written: Callable[[], None] = lambda: None, max_reply_s: float = math.inf
     ) -> AttemptResult:
@@ -251,7 +274,9 @@
     def _process_reply(self) -> None:
         parsed = resp.parse_reply(self.buffer.data, self.buffer.start, self.buffer.end)
         if self.pending_result is None or self.pending_result.done():
-            raise resp.ProtocolError("bytes received while no attempt awaits a reply")
+            since_reply_s = self._record_extra_bytes() if self in self.pool.idle else 0.0
+            age_ms = 1000 * since_reply_s
+            raise resp.ProtocolError(f"bytes received while no attempt awaits a reply, {age_ms:.1f} ms late")
         if parsed is None:
             self._restart_stall_timer()
             return
--- a/mapleshunt/net/upstream/endpoint_group.py
+++ b/mapleshunt/net/upstream/endpoint_group.py
@@ -10,13 +10,10 @@
 from ..counters import Counters
 from ..memory import MemoryBudget
 from ..reasons import UpstreamCloseReason
-from .connection import EndpointPool, UpstreamConnection
+from .connection import REUSE_DELAY_S, EndpointPool, UpstreamConnection
 from .endpoint import Endpoint
 from .errors import NoConnectionAvailableError
 
-# Between a reply and the next attempt on its connection: bytes right behind a reply would otherwise be taken
-# for the next attempt's reply.
-REUSE_DELAY_S = 0.01
 # Time in which a reduced maximum idle time doubles.
 MAX_IDLE_DOUBLING_S = 5.0
 MAX_DOUBLINGS = 60.0  # keeps the power of 2 within a float after days without a reduction
@@ -76,7 +73,7 @@
         for endpoint in endpoints:
             pool = self.pools.setdefault(endpoint.number, EndpointPool(endpoint, listed_as=self._updates))
             if not pool.endpoint.is_same_process(endpoint):
-                pool.listed_as = self._updates
+                pool.listed_as, pool.longest_extra_s = self._updates, 0.0
                 _close_idle(pool, UpstreamCloseReason.ENDPOINT_REPLACED)
             pool.endpoint = endpoint
         self._remove_unlisted(kind, endpoints)
@@ -145,10 +142,12 @@
     def take_idle(self, number: int) -> UpstreamConnection | None:
         """Take the most recently used reusable connection out of the endpoint's pool, or return None."""
         pool = self.pools.get(number)
+        if pool is None:
+            return None
         now = asyncio.get_running_loop().time()
-        min_idle_since = now - self.max_idle_s(now)
-        for connection in reversed(list(pool.idle)) if pool is not None else ():
-            if min_idle_since <= connection.idle_since <= now - REUSE_DELAY_S:
+        min_idle_since, max_idle_since = now - self.max_idle_s(now), now - pool.reuse_delay_s()
+        for connection in reversed(list(pool.idle)):
+            if min_idle_since <= connection.idle_since <= max_idle_since:
                 if connection.is_reusable():
                     connection.pool.idle.remove(connection)
                     return connection
--- a/mapleshunt/simulation/idle_connections.py
+++ b/mapleshunt/simulation/idle_connections.py
@@ -6,7 +6,7 @@
 
 from ..fleet.backend import Backend
 
-REUSE_DELAY_MS = 10.0  # after a response, a gateway does not reuse the connection for this time
+REUSE_DELAY_MS = 25.0  # after a response, a gateway does not reuse the connection for this time
 
 
 class IdleConnections:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -184,7 +184,7 @@
         await receive_command(server)
         server.send(VALID_REPLY)
         results = [await task]
-        await asyncio.sleep(2 * upstream.REUSE_DELAY_S)
+        await asyncio.sleep(2 * upstream_connection.REUSE_DELAY_S)
         _, task = start_attempt(group, number)
         await receive_command(server)  # on the same connection
         server.send(VALID_REPLY)
@@ -221,14 +221,14 @@
 
 def test_connection_is_not_reused_before_reuse_delay(monkeypatch: pytest.MonkeyPatch) -> None:
     # Bytes that arrived a moment after a reply would have been taken for the next attempt's reply.
-    monkeypatch.setattr(upstream, "REUSE_DELAY_S", 3600.0)
+    monkeypatch.setattr(upstream_connection, "REUSE_DELAY_S", 3600.0)
 
     async def steps(group: EndpointGroup, number: int, listener: socket.socket) -> list[AttemptResult]:
         connection = group.new_connection(number)
         with await accept_while(connection.connect(), listener):
             group.release(connection)
             assert group.take_idle(number) is None
-            upstream.REUSE_DELAY_S = 0.0
+            upstream_connection.REUSE_DELAY_S = 0.0
             assert group.take_idle(number) is connection
         return []
 
@@ -242,7 +242,7 @@
 
 
 def test_connection_whose_stream_has_read_ahead_is_not_reused(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(upstream, "REUSE_DELAY_S", 0.0)
+    monkeypatch.setattr(upstream_connection, "REUSE_DELAY_S", 0.0)
 
     async def steps(group: EndpointGroup, number: int, listener: socket.socket) -> list[AttemptResult]:
         connection = group.new_connection(number)
@@ -301,13 +301,13 @@
             await receive_command(server)
             server.send(VALID_REPLY)
             results = [await task]
-            await asyncio.sleep(2 * upstream.REUSE_DELAY_S)
+            await asyncio.sleep(2 * upstream_connection.REUSE_DELAY_S)
             _, task = start_attempt(group, number)
             await receive_command(server)
         results.append(await task)
         now = asyncio.get_running_loop().time()
         # The connection had been idle for less than a second.
-        assert upstream.REUSE_DELAY_S <= group.max_idle_s(now) < 1.0
+        assert upstream_connection.REUSE_DELAY_S <= group.max_idle_s(now) < 1.0
         assert group.max_idle_s(now + 100 * upstream.MAX_IDLE_DOUBLING_S) == group.idle_timeout_ms / 1000
         connection = group.new_connection(number)
         with await accept_while(connection.connect(), listener):
@@ -409,7 +409,7 @@
         server = await accept_while(connection.connect(), listener)
         if cached:
             group.release(connection)
-            await asyncio.sleep(2 * upstream.REUSE_DELAY_S)
+            await asyncio.sleep(2 * upstream_connection.REUSE_DELAY_S)
         else:  # the change comes while the next connection is dialled
             connection.close(UpstreamCloseReason.SHUTDOWN)
         (context, attempt), clock = new_request(number), [179.3]
