Drop a fleet view when its gateway no longer leads in the term in which it was made

Cause: the coordinator proposes views through a session that sends an operation again until it has a result, to whichever gateway leads. After a cut that was the next leader, which committed the view of before the cut.

Change: a proposal may say for how long it holds. A view holds while its gateway leads group 0 in the same term: then it goes to this gateway's own log only. The session drops it after that and goes on. No format changes.

--- a/mapleshunt/net/maintenance/coordinator.py
+++ b/mapleshunt/net/maintenance/coordinator.py
@@ -81,11 +81,22 @@
             time.time(), self._replication.zones, self._replication.section.groups, statuses, jobs
         )
         if not self._sessions.at(0).is_busy():
-            self._sessions.at(0).propose(view, lambda _: None)
+            term = self._term()
+            self._sessions.at(0).propose(view, lambda _: None, lambda: self._leads_in(term))
         if jobs.blocked_reason != self._logged_reason:
             self._logged_reason = jobs.blocked_reason
             log.log_event("maintenance_waits", why=jobs.blocked_reason or "no more")
 
+    def _term(self) -> int:
+        """Return the term that this gateway's replica of group 0 knows."""
+        group = self._replication.groups.get(0)
+        return group.node.term if group is not None else 0
+
+    def _leads_in(self, term: int) -> bool:
+        """Return whether this gateway still leads group 0 in the term: what it sends goes to its own log."""
+        group = self._replication.groups.get(0)
+        return group is not None and group.is_leader() and group.node.term == term
+
     def _poll_statuses(self) -> None:
         for peer in self._replication.peers.connected_peers():
             self._poll_status(peer)
--- a/mapleshunt/net/maintenance/proposal_session.py
+++ b/mapleshunt/net/maintenance/proposal_session.py
@@ -17,12 +17,24 @@
 MAX_WAITING = 4  # waiting operations; with more the session counts as busy
 
 
+def _always() -> bool:
+    return True
+
+
 @dataclass(slots=True, frozen=True)
 class Proposal:
-    """An operation to be applied; `on_result` gets its result."""
+    """An operation to be applied.
+
+    Attributes:
+        operation: What is proposed.
+        on_result: Gets the result, if there is one.
+        is_current: Whether the operation may still be sent. What was observed under one leader must not be
+            applied under the next: such a proposal is dropped without a result.
+    """
 
     operation: commands.Operation
     on_result: Callable[[Result], None]
+    is_current: Callable[[], bool] = _always
 
 
 class ProposalSession:
@@ -52,13 +64,19 @@
         """Return whether an operation is in flight or more than `MAX_WAITING` wait."""
         return bool(self._in_flight) or len(self._waiting) > MAX_WAITING
 
-    def propose(self, operation: commands.Operation, on_result: Callable[[Result], None]) -> None:
-        """Queue an operation, to be applied after those that wait."""
-        self._waiting.append(Proposal(operation, on_result))
+    def propose(
+        self,
+        operation: commands.Operation,
+        on_result: Callable[[Result], None],
+        is_current: Callable[[], bool] = _always,
+    ) -> None:
+        """Queue an operation, to be applied after those that wait, while `is_current` returns true."""
+        self._waiting.append(Proposal(operation, on_result, is_current))
         self.tick(self._requests.now())
 
     def tick(self, now: float) -> None:
         """Send the next operation, or resend one without a response. Called periodically."""
+        self._drop_outdated(now)
         if not self._in_flight and self._waiting:
             operation = self._waiting[0].operation if self._is_open else commands.OpenSession()
             self._last_number += 1
@@ -67,6 +85,20 @@
         if self._in_flight and now >= self._next_send_at:
             self._send(now)
 
+    def _drop_outdated(self, now: float) -> None:
+        """Drop the operations in front that may not be sent any more; the session's opening goes on."""
+        while self._waiting and not self._waiting[0].is_current():
+            self._waiting.popleft()
+            if self._is_open and self._in_flight:
+                self._end_flight(now)
+
+    def _end_flight(self, now: float) -> None:
+        """Stop waiting for the operation in flight, so that the next one may be sent."""
+        self._in_flight, self._next_send_at = b"", now
+        for request in self._sent_requests:
+            self._requests.abandon(request)
+        self._sent_requests.clear()
+
     def _send(self, now: float) -> None:
         """Send the operation, perhaps again: the answer to each time counts, as a session applies it once."""
         self._next_send_at = now + RETRY_INTERVAL_S
@@ -84,10 +116,7 @@
             self._requests.apply_redirect(self._group, response)
             self._next_send_at = min(self._next_send_at, now + REFUSED_RETRY_DELAY_S)
             return
-        self._in_flight, self._next_send_at = b"", now
-        for request in self._sent_requests:
-            self._requests.abandon(request)
-        self._sent_requests.clear()
+        self._end_flight(now)
         self._finish(decode_result(response.data), now)
         self.tick(now)
 
