End replication connections on which nothing is heard, so that a vanished machine is replaced

Cause: a gateway counted as present while its connection was open, and after the handshake a connection had no limit. Connections to a vanished machine stay open and silent.

Change: four times in an election timeout (eight times a second at most) each gateway checks what it heard of each other one; after 4 checks without a byte it asks for the status, which every version answers, and after 16 it ends the connection (link_ended, reason silent).

Why it works: presence, the choice of the leader to ask and the coordinator's view all go by the connection. Checks are counted instead of time, so that a process that was held up itself ends nothing.

--- a/mapleshunt/net/replication/connection.py
+++ b/mapleshunt/net/replication/connection.py
@@ -20,6 +20,11 @@
 MAX_BATCH_BYTES = 192 * 1024  # approximate size of the messages in one frame
 MESSAGE_OVERHEAD_BYTES = 64  # counted for each message in addition to its data
 HANDSHAKE_TIMEOUT_S = 2.0
+# Checks without a received byte after which a response is asked for, repeatedly, and the connection ends.
+# No time is measured: a process that was held up itself has heard nothing either.
+SILENT_CHECKS_PER_PROBE = 4
+MAX_SILENT_CHECKS = 16
+UNAWAITED_CALL = 0  # number of a request whose response only has to be heard
 READ_BUFFER_BYTES = wire.MAX_FRAME_BYTES + wire.FRAME_HEADER.size
 
 
@@ -54,6 +59,8 @@
         self._counters = counters
         self._queue: list[tuple[int, Message]] = []
         self._ended = False
+        self._silent_checks = 0  # since the last received byte
+        self._close_reason = "closed"
         self._sent_incarnation = ""  # in the handshake that this end sent
         stream.set_nodelay(True)
 
@@ -67,7 +74,7 @@
             self.write(handshake)
             return await self._read_frames()
         except StreamClosedError:
-            return "closed"
+            return self._close_reason
         except (wire.ProtocolError, MessageTooLongError) as error:
             self._counters.add("copies_strange")
             return str(error)
@@ -90,6 +97,19 @@
                 if self._ended:
                     return "ended"
             await buffer.fill(self.stream)
+            self._silent_checks = 0
+
+    def check_silence(self) -> None:
+        """Ask for a response if nothing was heard for some checks, and end the connection after more.
+
+        Where a machine vanishes, its connections stay open.
+        """
+        self._silent_checks += 1
+        if self._silent_checks >= MAX_SILENT_CHECKS:
+            self._close_reason = "silent"
+            self.close()
+        elif self._silent_checks % SILENT_CHECKS_PER_PROBE == 0:
+            self.write(wire.AdminRequest(UNAWAITED_CALL, "status"))
 
     def _handshake_timed_out(self) -> None:
         if self.remote_handshake is None:
--- a/mapleshunt/net/replication/connections.py
+++ b/mapleshunt/net/replication/connections.py
@@ -16,6 +16,7 @@
 from ..client.listener import Acceptor, bind_socket
 from ..config import Address, address_family
 from ..counters import Counters
+from ..periodic import PeriodicTask
 from .connection import ConnectionHandlers, PeerConnection
 
 BACKLOG = 64  # connections that wait in the kernel to be accepted
@@ -53,10 +54,22 @@
     """Accepts, dials and tracks all replication connections of this gateway."""
 
     def __init__(
-        self, addresses: FleetAddresses, handlers: PeerHandlers, counters: Counters, random_: random.Random
+        self,
+        addresses: FleetAddresses,
+        handlers: PeerHandlers,
+        counters: Counters,
+        random_: random.Random,
+        silence_check_interval_s: float = 0.25,
     ) -> None:
         """Bind the address; `open` starts to accept and dial.
 
+        Args:
+            addresses: the addresses of the fleet.
+            handlers: the callbacks of all connections.
+            counters: the gateway's counters.
+            random_: draws the pauses before a redial.
+            silence_check_interval_s: s between two checks of what was heard from each gateway.
+
         Raises:
             OSError: the address cannot be bound.
         """
@@ -75,6 +88,7 @@
         self._unidentified: dict[PeerConnection, None] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._flush_scheduled = False
+        self._silence_checks = PeriodicTask(self._check_silence, silence_check_interval_s, counters.add)
         self._listener = bind_socket(addresses.listen)
         self._acceptor = Acceptor(
             self._listener,
@@ -88,6 +102,7 @@
         """Start to accept connections, and dial the peers with a later name."""
         self._listener.listen(BACKLOG)
         self._acceptor.start()
+        self._silence_checks.start()
         for peer in self._addresses.peers:
             if self._addresses.name < peer:  # of each pair only one dials
                 self._start_task(self._dial(peer))
@@ -97,6 +112,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _check_silence(self) -> None:
+        for connection in list(self._by_peer.values()):
+            connection.check_silence()
+
     def _accept(self, client: socket.socket) -> None:
         if len(self._unidentified) >= MAX_UNIDENTIFIED:
             next(iter(self._unidentified)).close()
@@ -206,6 +225,7 @@
 
     def close(self) -> None:
         """Close the listener and all connections, and stop dialing."""
+        self._silence_checks.stop()
         self._acceptor.stop()
         self._listener.close()
         for task in self._tasks:
--- a/mapleshunt/net/replication/host.py
+++ b/mapleshunt/net/replication/host.py
@@ -34,6 +34,8 @@
 from .store_tasks import StoreTasks
 
 HEARTBEATS_PER_ELECTION_TIMEOUT = 5
+SILENCE_CHECKS_PER_ELECTION_TIMEOUT = 4
+MIN_SILENCE_CHECK_INTERVAL_S = 0.125  # also where elections are quick, a gateway may be held up for longer
 
 # Status values by the keys that operators read. Any: whatever msgspec encodes.
 Status = dict[str, Any]
@@ -109,6 +111,7 @@
     def _bind(self, local_calls: LocalCalls) -> PeerConnections:
         addresses = peer_addresses(self.section, self.gateway)
         peers = {name: address for name, address in addresses.items() if name != self.gateway}
+        election_timeout_s = self.section.election_ms / 1000
         handlers = PeerHandlers(
             handshake=self.knowledge.handshake,
             on_peer=self._peer_connected,
@@ -122,6 +125,7 @@
                 handlers,
                 self._counters,
                 self._random,
+                max(MIN_SILENCE_CHECK_INTERVAL_S, election_timeout_s / SILENCE_CHECKS_PER_ELECTION_TIMEOUT),
             )
         except OSError as error:
             self.store.close()
