Owe the marks of long maintenance until each group has confirmed them

Cause: the machine read each group's record once when the grant ended, at a gateway drawn at random where it knew no leader; a refusal was dropped with its hint of the leader. A process that started later owed nothing.

A process whose job does not have its replicas away revokes what an earlier one set. Setting the marks goes the same way; operators' values stay.

Why it works: a read that shows another value is followed by a write bound to its version and by another read, over changes of leader and restarts.

--- a/mapleshunt/net/maintenance/machine.py
+++ b/mapleshunt/net/maintenance/machine.py
@@ -6,22 +6,20 @@
 
 from ...maintenance import commands as maintenance_commands
 from ...maintenance.agent import AgentAction, MaintenanceAgent, RemainingWork
-from ...maintenance.records import MachineJob
-from ...replicated_state import commands
-from ...replicated_state.state_machine import Record
+from ...maintenance.records import GRANT_STATES, JobState, MachineJob
 from ...replication import messages as m
 from ...replication import wire
 from .. import log
-from ..replication.group_host import EVACUATED_PREFIX
 from ..replication.host import ReplicationHost
 from .controls import GatewayControls
+from .evacuation_records import EvacuationRecords
 from .proposal_session import ProposalSessions
 
 POLL_INTERVAL_S = 0.2  # between two reads of the job
 IDLE_POLL_INTERVAL_S = 1.0  # the same while no maintenance is requested
 REFUSED_POLL_DELAY_S = 0.1  # after a read that was refused
-# Value of an evacuation record that maintenance set; records set by operators have another.
-EVACUATED_FOR_MAINTENANCE = "work"
+# States of a job in which this gateway's replicas may be migrated to other gateways.
+STATES_WITH_REPLICAS_AWAY = (*GRANT_STATES, JobState.OUT, JobState.OVERDUE)
 
 # The log's timestamp, the job, whether its replicas are migrated, and whether any job is open.
 JOB_DECODER: msgspec.msgpack.Decoder[tuple[float, MachineJob | None, bool, bool]] = msgspec.msgpack.Decoder(
@@ -42,6 +40,9 @@
         self._sessions = sessions
         self._controls = controls
         self._agent = MaintenanceAgent()
+        self._evacuation = EvacuationRecords(
+            self._requests, sessions, self._gateway, replication.section.groups
+        )
         self._job: MachineJob | None = None
         self._has_read = False  # `_job` is the result of a read
         self._move_replicas = False  # the job needs the replicas migrated
@@ -88,8 +89,9 @@
     def _follow_agent(self, now: float) -> None:
         for action in self._agent.step(now, self._job, self._move_replicas, self._remaining_work()):
             self._carry_out(action)
-        if self._job is not None and self._job.state == "returning" and self._move_replicas:
-            self._return_replicas()
+        if self._job is None or self._job.state not in STATES_WITH_REPLICAS_AWAY:
+            self._evacuation.revoke()  # also what an earlier process of this gateway set
+        self._evacuation.tick(now)
 
     def _remaining_work(self) -> RemainingWork:
         occupancy = self._controls.occupancy()
@@ -114,7 +116,7 @@
             case "hand_over":
                 self._hand_over(with_replicas=action.state == "copies")
             case "take_back":
-                self._return_replicas()
+                self._evacuation.revoke()
             case "tell" if not self._sessions.at(0).is_busy():
                 progress = maintenance_commands.ReportProgress(
                     self._gateway, action.fencing_token, action.state, action.reason
@@ -126,27 +128,4 @@
             if host.is_leader():
                 host.step(m.TransferLeadership())
         if with_replicas:
-            self._set_evacuated(EVACUATED_FOR_MAINTENANCE, "")
-
-    def _return_replicas(self) -> None:
-        self._set_evacuated("", EVACUATED_FOR_MAINTENANCE)
-
-    def _set_evacuated(self, value: str, expected: str) -> None:
-        """Set this gateway's evacuation record in all groups in which it has the expected value."""
-        for group in range(self._replication.section.groups):
-            if not self._sessions.at(group).is_busy():
-                self._set_evacuated_in_group(group, value, expected)
-
-    def _set_evacuated_in_group(self, group: int, value: str, expected: str) -> None:
-        key = f"{EVACUATED_PREFIX}{self._gateway}"
-
-        def record_received(response: wire.ClientResponse) -> None:
-            if response.status != "done" or self._sessions.at(group).is_busy():
-                return
-            record: Record | None = msgspec.msgpack.decode(response.data, type=Record | None)
-            if (record.value if record is not None else "") == expected:
-                version = record.version if record is not None else 0
-                set_record = commands.SetRecord(key, value, version)
-                self._sessions.at(group).propose(set_record, lambda _: None)
-
-        self._requests.send(group, b"", self._requests.leader_of(group), record_received, f"record {key}")
+            self._evacuation.set()
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -263,6 +263,7 @@
         gateway="g0",
         groups=SimpleNamespace(hosts={}),
         knowledge=SimpleNamespace(replica=lambda: "g0/1"),
+        section=SimpleNamespace(groups=0),
     )
     sessions = SimpleNamespace(at=lambda _: SimpleNamespace(is_busy=lambda: True))
     controls = SimpleNamespace(occupancy=lambda: occupancy, drain=lambda: drains.append(True))
