--- a/tests/in_process.py
+++ b/tests/in_process.py
@@ -4,9 +4,13 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+import random
+from collections.abc import Callable, Sequence
 
 from mapleshunt.net import config
+from mapleshunt.net.counters import Counters
+from mapleshunt.net.replication.connections import FleetAddresses, PeerConnections, PeerHandlers
+from mapleshunt.replication import wire
 from mapleshunt.server.gateway_server import GatewayServer
 
 from .processes import EXAMPLE_CONFIG
@@ -21,6 +25,19 @@
     return GatewayServer(config.parse(json.dumps(configuration), env))
 
 
+def peer_connections(peers: Sequence[str], silence_check_interval_s: float = 0.25) -> PeerConnections:
+    """Return the replication connections of a gateway, on a free port, whose peers cannot be dialled."""
+    handlers = PeerHandlers(
+        handshake=lambda: wire.Handshake("f", 1, 1, "gateway", "ours", 3, {}, 0),
+        on_peer=lambda _handshake: None,
+        on_message=lambda *_message: None,
+        on_request=lambda *_request: None,
+        on_response=lambda _response: None,
+    )
+    addresses = FleetAddresses("f", "gateway", ("127.0.0.1", 0), {peer: ("127.0.0.1", 9) for peer in peers})
+    return PeerConnections(addresses, handlers, Counters(), random.Random(1), silence_check_interval_s)
+
+
 async def wait_until(condition: Callable[[], object]) -> None:
     """Give the loop turns until `condition` holds. Raises TimeoutError."""
     async with asyncio.timeout(WAIT_TIMEOUT_S):
--- a/tests/test_accept_bursts.py
+++ b/tests/test_accept_bursts.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import socket
 
 import pytest
@@ -15,7 +14,7 @@
 from mapleshunt.replication import wire
 from mapleshunt.server.client_admission import MAX_EVICTIONS_PER_TURN
 
-from .in_process import gateway_server, wait_until
+from .in_process import gateway_server, peer_connections, wait_until
 from .processes import PING
 
 CALL = b"GET /_ready HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
@@ -61,17 +60,7 @@
     peers = [f"a{number}" for number in range(40)]  # names before ours: they dial
 
     async def run() -> list[str]:
-        handlers = replication.PeerHandlers(
-            handshake=lambda: wire.Handshake("f", 1, 1, "gateway", "ours", 3, {}, 0),
-            on_peer=lambda _handshake: None,
-            on_message=lambda *_message: None,
-            on_request=lambda *_request: None,
-            on_response=lambda _response: None,
-        )
-        addresses = replication.FleetAddresses(
-            "f", "gateway", ("127.0.0.1", 0), {peer: ("127.0.0.1", 9) for peer in peers}
-        )
-        connections = replication.PeerConnections(addresses, handlers, Counters(), random.Random(1))
+        connections = peer_connections(peers)
         connections.open()
         clients = []
         for peer in peers:
--- a/tests/test_silent_peers.py
+++ b/tests/test_silent_peers.py
@@ -3,33 +3,17 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 import pytest
 
-from mapleshunt.net.counters import Counters
-from mapleshunt.net.replication import connections as replication
 from mapleshunt.replication import wire
 
-from .in_process import WAIT_TIMEOUT_S, wait_until
+from .in_process import WAIT_TIMEOUT_S, peer_connections, wait_until
 
 CHECK_INTERVAL_S = 0.01
 PEER = "a1"  # a name before ours: it dials
 
 
-def peer_connections() -> replication.PeerConnections:
-    """Return the connections of a gateway with one peer."""
-    handlers = replication.PeerHandlers(
-        handshake=lambda: wire.Handshake("f", 1, 1, "gateway", "ours", 3, {}, 0),
-        on_peer=lambda _handshake: None,
-        on_message=lambda *_message: None,
-        on_request=lambda *_request: None,
-        on_response=lambda _response: None,
-    )
-    addresses = replication.FleetAddresses("f", "gateway", ("127.0.0.1", 0), {PEER: ("127.0.0.1", 9)})
-    return replication.PeerConnections(addresses, handlers, Counters(), random.Random(1), CHECK_INTERVAL_S)
-
-
 async def answer_requests(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, answers: bool) -> int:
     """Return how many requests came until the connection ended; answer each one if `answers` is set."""
     received, requests = bytearray(), 0
@@ -49,7 +33,7 @@
 def test_connection_to_a_silent_peer_ends_and_one_that_answers_stays(answers: bool) -> None:
     # Without it a vanished gateway counted as present for ever, and no other one took its place.
     async def run() -> None:
-        connections = peer_connections()
+        connections = peer_connections([PEER], CHECK_INTERVAL_S)
         connections.open()
         reader, writer = await asyncio.open_connection(*connections._listener.getsockname())
         writer.write(wire.encode_frame(wire.Handshake("f", 1, 1, PEER, "theirs", 3, {}, 0)))
