Dial anew for what must not run twice where an endpoint sent bytes behind replies

Cause: the wait before reuse rests on a figure and on the longest time that an endpoint has shown; a second answer that is later than both is still taken for the next command's reply.

Change: an attempt of an at-most-once class takes no used connection of a process that has sent bytes behind any reply; on a new one no copy can come ahead of its reply.

Tests: such an attempt takes a used connection before and none after bytes behind a reply; the driver passes what the class says. Both need the new argument, and so could not pass before.

--- a/mapleshunt/net/policy_driver.py
+++ b/mapleshunt/net/policy_driver.py
@@ -266,8 +266,11 @@
         """Send an attempt and report its result. Not cancelled as a task: `Attempt.cancel` ends the wait."""
         time_left = attempt.deadline - self.now()
         timer = self.loop.call_later(time_left / 1000, attempt.cancel, AttemptStatus.TIMEOUT)
+        may_run_once = self.settings.classes[context.request.request_class].effect == "unsafe"
         try:
-            result = await dispatch(context, attempt, self.group, self.now, self.attempt_checks.check_write)
+            result = await dispatch(
+                context, attempt, self.group, self.now, self.attempt_checks.check_write, may_run_once
+            )
         except Exception:
             self.counters.add("exceptions")
             log.log_exception("try_exception", ref=context.request_id)
--- a/mapleshunt/net/upstream/connection.py
+++ b/mapleshunt/net/upstream/connection.py
@@ -65,22 +65,24 @@
         idle: Its idle connections, the most recently used last.
         listed_as: Number of the update in which its process, by address and start, was first listed.
         is_replaced: Whether another process has come up at its address since then.
-        longest_extra_s: Longest time in s seen from a reply of this process to bytes behind it.
+        longest_extra_s: Longest time in s seen from a reply of this process to bytes behind it; None if there
+            were none.
     """
 
     endpoint: Endpoint
     idle: list[UpstreamConnection] = field(default_factory=list)
     listed_as: int = 0
     is_replaced: bool = False
-    longest_extra_s: float = 0.0
+    longest_extra_s: float | None = None
 
     def reuse_delay_s(self) -> float:
         """Return how long after a reply its connection is not reused, in s."""
-        return max(REUSE_DELAY_S, min(MAX_REUSE_DELAY_S, REUSE_DELAY_FACTOR * self.longest_extra_s))
+        seen_s = self.longest_extra_s or 0.0
+        return max(REUSE_DELAY_S, min(MAX_REUSE_DELAY_S, REUSE_DELAY_FACTOR * seen_s))
 
     def extra_bytes_seen(self, since_reply_s: float) -> None:
         """Record bytes that followed a reply after so many s."""
-        self.longest_extra_s = max(self.longest_extra_s, since_reply_s)
+        self.longest_extra_s = max(self.longest_extra_s or 0.0, since_reply_s)
 
     @property
     def address(self) -> Address:
@@ -159,8 +161,9 @@
         return False
 
     def _record_extra_bytes(self) -> float:
-        """Record bytes that came while the connection was idle; return the s since the last reply."""
-        since_reply_s = asyncio.get_running_loop().time() - self.idle_since
+        """Record bytes that belong to no attempt; return the s since the last reply."""
+        is_idle = self in self.pool.idle
+        since_reply_s = asyncio.get_running_loop().time() - self.idle_since if is_idle else 0.0
         self.pool.extra_bytes_seen(since_reply_s)
         return since_reply_s
 
@@ -274,8 +277,7 @@
     def _process_reply(self) -> None:
         parsed = resp.parse_reply(self.buffer.data, self.buffer.start, self.buffer.end)
         if self.pending_result is None or self.pending_result.done():
-            since_reply_s = self._record_extra_bytes() if self in self.pool.idle else 0.0
-            age_ms = 1000 * since_reply_s
+            age_ms = 1000 * self._record_extra_bytes()
             raise resp.ProtocolError(f"bytes received while no attempt awaits a reply, {age_ms:.1f} ms late")
         if parsed is None:
             self._restart_stall_timer()
@@ -286,6 +288,7 @@
         self._hold_value(len(result.value or b""))
         self.pending_result.set_result(result)
         if self.buffer.start != self.buffer.end:  # the next attempt would read them as its reply
+            self._record_extra_bytes()
             raise resp.ProtocolError("unexpected bytes after a complete reply")
 
     def _restart_stall_timer(self) -> None:
--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -48,6 +48,25 @@
     assert [result.status for result in run_steps(steps)] == ["ok"]
 
 
+def test_attempt_that_may_run_once_takes_no_used_connection_of_a_process_that_sent_extra_bytes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(upstream_connection, "REUSE_DELAY_S", 0.0)
+
+    async def steps(group: EndpointGroup, number: int, listener: socket.socket) -> list[AttemptResult]:
+        connection = group.new_connection(number)
+        with await accept_while(connection.connect(), listener):
+            group.release(connection)
+            assert group.take_idle(number, may_run_once=True) is connection
+            group.release(connection)
+            group.pools[number].extra_bytes_seen(0.0)
+            assert group.take_idle(number, may_run_once=True) is None
+            assert group.take_idle(number) is connection
+        return []
+
+    assert run_steps(steps) == []
+
+
 def test_reuse_waits_for_twice_the_longest_time_to_bytes_behind_a_reply() -> None:
     async def steps(group: EndpointGroup, number: int, listener: socket.socket) -> list[AttemptResult]:
         pool = group.pools[number]
@@ -101,6 +120,7 @@
             await receive_command(server)
             server.send(VALID_REPLY + extra)
             results = [await first]
+            assert group.pools[number].longest_extra_s == 0.0
             _, second = start_attempt(group, number)
             with await accept(listener) as second_server:
                 await receive_command(second_server)
--- a/tests/test_policy_driver.py
+++ b/tests/test_policy_driver.py
@@ -6,6 +6,7 @@
 import socket
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -25,16 +26,20 @@
     StartAttempt,
     TimerFired,
 )
+from mapleshunt.net import policy_driver
 from mapleshunt.net.counters import Counters
+from mapleshunt.net.messages import AttemptResult
 from mapleshunt.net.periodic import PeriodicTask
 from mapleshunt.net.policy_driver import RESPONSE_MARGIN_MS, PolicyDriver
 from mapleshunt.net.protocol.command_protocol import CommandMessage
+from mapleshunt.net.reasons import AttemptStatus
 from mapleshunt.net.request import respond
 from mapleshunt.net.request.admit import admit
 from mapleshunt.net.request.context import RequestContext
 from mapleshunt.net.upstream.endpoint import Endpoint
 from mapleshunt.net.upstream.endpoint_group import EndpointGroup
 from mapleshunt.policy.endpoints import EndpointTable
+from mapleshunt.policy.settings import Effect
 
 from .conftest import CLASSES, PLANS
 
@@ -321,3 +326,27 @@
         return delays
 
     assert max(asyncio.run(run())) > 0.05
+
+
+@pytest.mark.parametrize("effect", ["safe", "unsafe"])
+def test_attempt_of_a_class_that_may_run_once_is_dispatched_as_such(
+    monkeypatch: pytest.MonkeyPatch, effect: Effect
+) -> None:
+    may_run_once: list[bool] = []
+
+    async def record_dispatch(*arguments: Any) -> AttemptResult:
+        may_run_once.append(arguments[-1])
+        return AttemptResult(AttemptStatus.UNSENT)
+
+    async def steps(driver: PolicyDriver, _policy: ScriptedPolicy) -> None:
+        submit_request(driver)
+        while driver.attempts_in_flight:
+            await asyncio.sleep(0)
+
+    def decide(event: Event) -> list[Any]:
+        return [StartAttempt(event.request_id, 1)] if isinstance(event, RequestReceived) else []
+
+    monkeypatch.setattr(policy_driver, "dispatch", record_dispatch)
+    monkeypatch.setitem(CLASSES, "look", replace(CLASSES["look"], effect=effect))
+    run_steps(decide, steps)
+    assert may_run_once == [effect == "unsafe"]
