Keep a removed replica as a follower when it is added again while it is being told

Cause: a replica that is told of its removal is forgotten once it knows. Added again before that, it was forgotten as a member, and nothing was replicated to it any more while this leader led.

Change: a member is no removed replica. The test failed before.

--- a/mapleshunt/replication/progress.py
+++ b/mapleshunt/replication/progress.py
@@ -74,7 +74,9 @@
         for replica in [follower for follower in self.followers if follower not in members]:
             del self.followers[replica]
         for replica in members:
-            if replica != self.me and replica not in self.followers:
+            if replica in self.followers:
+                self.followers[replica].removed_until = None
+            elif replica != self.me:
                 self.followers[replica] = FollowerProgress(
                     next_index=self.log.last_index() + 1, last_contact_at=now, progressed_at=now
                 )
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -93,3 +93,16 @@
     assert told.message.entries[-1].members == m.Members(("a/1", "b/1"))
     node.step(5.4, m.MessageReceived("c/1", m.AppendEntriesResponse(1, True, 2, node.round)))
     assert {send.to for send in sent_messages(node.step(5.7, m.Tick()), m.AppendEntries)} == {"b/1"}
+
+
+def test_removed_replica_that_is_added_again_while_it_is_told_stays_a_follower() -> None:
+    node = elected_leader(RaftConfig())
+    assert node.leadership is not None
+    node.step(5.1, m.ChangeMembership(1, m.MembershipAction.REMOVE, "c/1"))
+    node.step(5.1, m.WriteCompleted(node.outbox.last_write))
+    node.step(5.1, m.MessageReceived("b/1", m.AppendEntriesResponse(1, True, 2, node.round)))
+    node.step(5.2, m.MessageReceived("c/1", m.VoteRequest(2, 1, 1, True, False)))
+    node.step(5.2, m.ChangeMembership(2, m.MembershipAction.ADD_LEARNER, "c/1"))
+    node.step(5.3, m.MessageReceived("c/1", m.AppendEntriesResponse(1, True, 3, node.round)))
+    node.step(5.5, m.Tick())
+    assert node.members().learners == ("c/1",) and "c/1" in node.leadership.progress.followers
