Discovery: make no further call on a connection with bytes behind an answer

Change: the next call begins on a new connection. A copy that arrives after the next call was made is still taken for its answer; its list is no newer than what is known, and the answer behind it counts for the call after that.

Test: the table of a watch's answers has one that comes twice. Before, the copy was applied as an update of its own.

--- a/mapleshunt/net/discovery/watcher.py
+++ b/mapleshunt/net/discovery/watcher.py
@@ -149,7 +149,9 @@
                     self.revision = None
                 return DiscoveryEnd(DiscoveryEndReason.HTTP_STATUS, response.status)
             update = parse_endpoint_list(json.loads(bytes(response.body)))
-            continues = self.schedule.is_newest(call) and response.keep_alive
+            # Bytes behind an answer would be taken for that of the next call.
+            may_reuse = response.keep_alive and not connection.received_bytes()
+            continues = self.schedule.is_newest(call) and may_reuse
             self._answered(call, update)
             if not continues:
                 return None
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -56,7 +56,7 @@
         b"",
         encode_answer(45, False),
         b"nonsense\r\n\r\n",
-        encode_answer(46, False),
+        2 * encode_answer(46, False),  # the copy must not be taken for the answer to the next call
         encode_answer(0, False, b"503 Full"),
         encode_answer(47, False),
         encode_answer(0, False, b"410 Gone"),
