--- a/mapleshunt/maintenance/evacuation.py
+++ b/mapleshunt/maintenance/evacuation.py
@@ -16,7 +16,7 @@
 
 
 class EvacuationMarks:
-    """The value that the records should have, and the groups in which no read has confirmed it yet.
+    """The marks of a gateway: the value that its records should have, and where no read has confirmed it yet.
 
     Attributes:
         wanted: The value; None until it is known.
@@ -29,7 +29,7 @@
         self.wanted: str | None = None
         self.unconfirmed: set[int] = set()
 
-    def set(self) -> None:
+    def evacuate(self) -> None:
         """Have the replicas migrate to other gateways."""
         self._want(EVACUATED_FOR_MAINTENANCE)
 
--- a/mapleshunt/net/maintenance/machine.py
+++ b/mapleshunt/net/maintenance/machine.py
@@ -125,4 +125,4 @@
             if host.is_leader():
                 host.step(m.TransferLeadership())
         if with_replicas:
-            self._evacuation.marks.set()
+            self._evacuation.marks.evacuate()
--- a/mapleshunt/net/maintenance/proposal_session.py
+++ b/mapleshunt/net/maintenance/proposal_session.py
@@ -90,10 +90,10 @@
         while self._waiting and not self._waiting[0].is_current():
             self._waiting.popleft()
             if self._is_open and self._in_flight:
-                self._end_flight(now)
+                self._forget_in_flight(now)
 
-    def _end_flight(self, now: float) -> None:
-        """Stop waiting for the operation in flight, so that the next one may be sent."""
+    def _forget_in_flight(self, now: float) -> None:
+        """Stop waiting for a result of the operation in flight, so that the next one may be sent."""
         self._in_flight, self._next_send_at = b"", now
         for request in self._sent_requests:
             self._requests.abandon(request)
@@ -116,7 +116,7 @@
             self._requests.apply_redirect(self._group, response)
             self._next_send_at = min(self._next_send_at, now + REFUSED_RETRY_DELAY_S)
             return
-        self._end_flight(now)
+        self._forget_in_flight(now)
         self._finish(decode_result(response.data), now)
         self.tick(now)
 
--- a/mapleshunt/net/policy_driver.py
+++ b/mapleshunt/net/policy_driver.py
@@ -266,10 +266,10 @@
         """Send an attempt and report its result. Not cancelled as a task: `Attempt.cancel` ends the wait."""
         time_left = attempt.deadline - self.now()
         timer = self.loop.call_later(time_left / 1000, attempt.cancel, AttemptStatus.TIMEOUT)
-        may_run_once = self.settings.classes[context.request.request_class].effect == "unsafe"
+        is_at_most_once = self.settings.classes[context.request.request_class].effect == "unsafe"
         try:
             result = await dispatch(
-                context, attempt, self.group, self.now, self.attempt_checks.check_write, may_run_once
+                context, attempt, self.group, self.now, self.attempt_checks.check_write, is_at_most_once
             )
         except Exception:
             self.counters.add("exceptions")
--- a/mapleshunt/net/request/dispatch.py
+++ b/mapleshunt/net/request/dispatch.py
@@ -33,11 +33,11 @@
     group: EndpointGroup,
     now: Callable[[], float],
     before_write: BeforeWrite = _skip_check,
-    may_run_once: bool = False,
+    is_at_most_once: bool = False,
 ) -> AttemptResult:
     """Send the attempt and wait for its reply. `now` is the driver's clock, in ms.
 
-    With `may_run_once` its request must not run twice, nor be answered by what belongs to another.
+    With `is_at_most_once` its request must not run twice, nor be answered by what belongs to another.
 
     The timeout sent to the endpoint is the time left after connecting. Cancelling this coroutine leaves the
     connection open; `Attempt.cancel` closes it, which ends the wait.
@@ -57,7 +57,7 @@
     try:
         if not may_send():
             return AttemptResult(AttemptStatus.UNSENT)
-        connection = group.take_idle(attempt.endpoint, may_run_once)
+        connection = group.take_idle(attempt.endpoint, is_at_most_once)
         if connection is None:
             connection = group.new_connection(attempt.endpoint)
             attempt.connection = connection
--- a/mapleshunt/net/upstream/endpoint_group.py
+++ b/mapleshunt/net/upstream/endpoint_group.py
@@ -139,14 +139,14 @@
         for connection in idle[: max(0, len(self.connections) - max_connections)]:
             connection.close(UpstreamCloseReason.EVICTED)
 
-    def take_idle(self, number: int, may_run_once: bool = False) -> UpstreamConnection | None:
+    def take_idle(self, number: int, is_at_most_once: bool = False) -> UpstreamConnection | None:
         """Take the most recently used reusable connection out of the endpoint's pool, or return None.
 
-        An attempt that may run once only gets none of a process that has sent bytes behind a reply: what
+        An attempt that must not run twice gets none of a process that has sent bytes behind a reply: what
         comes later than any time that was seen would be taken for its reply.
         """
         pool = self.pools.get(number)
-        if pool is None or (may_run_once and pool.longest_extra_s is not None):
+        if pool is None or (is_at_most_once and pool.longest_extra_s is not None):
             return None
         now = asyncio.get_running_loop().time()
         min_idle_since, max_idle_since = now - self.max_idle_s(now), now - pool.reuse_delay_s()
--- a/mapleshunt/simulation/long_maintenance_plays.py
+++ b/mapleshunt/simulation/long_maintenance_plays.py
@@ -96,7 +96,7 @@
         """Carry out an action of a machine's agent."""
         super().carry_out(name, machine, action)
         if action.kind is AgentActionKind.HAND_OVER and action.state:
-            self.marks[name].set()
+            self.marks[name].evacuate()
         elif action.kind is AgentActionKind.TAKE_BACK:
             self.marks[name].revoke()
 
--- a/mapleshunt/testbed/pipelines/run.py
+++ b/mapleshunt/testbed/pipelines/run.py
@@ -50,7 +50,7 @@
         if self.peak_memory_mb > limit_mb:
             broken.append(f"over the memory limit: {self.peak_memory_mb:.0f} of {limit_mb} MB")
         for name, kinds in (("pipelined", self.pipelined), ("sound", self.sound)):
-            lost = sum(kinds.get(kind, 0) for kind in LOST_KINDS)
+            lost = {str(kind): kinds[kind] for kind in LOST_KINDS if kinds.get(kind)}
             if lost:
                 broken.append(f"lost: {lost} of {sum(kinds.values())} {name} requests")
         return broken
--- a/tests/test_connection_reuse.py
+++ b/tests/test_connection_reuse.py
@@ -12,6 +12,7 @@
 from mapleshunt.net.messages import AttemptResult
 from mapleshunt.net.upstream import connection as upstream_connection
 from mapleshunt.net.upstream import endpoint_group as upstream
+from mapleshunt.net.upstream.connection import MAX_REUSE_DELAY_S, REUSE_DELAY_S
 from mapleshunt.net.upstream.endpoint_group import EndpointGroup
 
 from .endpoints import (
@@ -23,65 +24,83 @@
     run_steps,
     start_attempt,
 )
-from .in_process import wait_until
 
-COMMAND = b"*1\r\n$9\r\nSVC.QUERY\r\n"
 SECOND_ANSWER_S = 0.012  # after the first, at most, in `review/2`
 
 
-def test_second_answer_some_milliseconds_late_never_reaches_next_attempt() -> None:
-    # Reused 10 ms after a reply, a connection had the copy behind it taken for the next attempt's reply.
-    async def steps(group: EndpointGroup, number: int, listener: socket.socket) -> list[AttemptResult]:
-        connection = group.new_connection(number)
-        with await accept_while(connection.connect(), listener) as server:
-            exchange = asyncio.create_task(connection.exchange(COMMAND))
-            await receive_command(server)
-            server.send(VALID_REPLY)
-            asyncio.get_running_loop().call_later(SECOND_ANSWER_S, server.send, VALID_REPLY)
-            results = [await exchange]
-            group.release(connection)
-            while (reused := group.take_idle(number)) is None and connection in group.connections:
-                await asyncio.sleep(0)
-            assert reused is None
-        return results
-
-    assert [result.status for result in run_steps(steps)] == ["ok"]
-
-
-def test_attempt_that_may_run_once_takes_no_used_connection_of_a_process_that_sent_extra_bytes(
+async def answer_attempt(
+    group: EndpointGroup, number: int, server: socket.socket, data: bytes = VALID_REPLY
+) -> tuple[AttemptResult, socket.socket]:
+    """Start an attempt, and answer it on a connection, or on the next one that a listener accepts.
+
+    Returns the result and the connection, which stays open.
+    """
+    _, task = start_attempt(group, number)
+    if server.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        server = await accept(server)
+    await receive_command(server)
+    server.send(data)
+    return await task, server
+
+
+@pytest.mark.parametrize(
+    ("delay_s", "idle_s", "reads_ahead", "seen_extra_s", "is_at_most_once", "is_reused"),
+    [
+        (0.0, 0.0, False, None, False, True),
+        (3600.0, 0.0, False, None, False, False),  # bytes may still come that follow its reply
+        (0.0, 3600.0, False, None, False, False),  # the endpoint may have closed it
+        (0.0, 0.0, True, None, False, False),  # the stream has read bytes that its task has not seen
+        (0.0, 0.0, False, 0.5, False, False),  # the endpoint has shown that they come as late as that
+        (0.0, 1.1, False, 0.5, False, True),
+        (0.0, 0.0, False, 0.0, False, True),
+        (0.0, 0.0, False, 0.0, True, False),  # they might come later than any that were seen
+        (0.0, 0.0, False, None, True, True),
+    ],
+)
+def test_idle_connection_is_reused_unless_bytes_may_follow_its_reply(
     monkeypatch: pytest.MonkeyPatch,
+    delay_s: float,
+    idle_s: float,
+    reads_ahead: bool,
+    seen_extra_s: float | None,
+    is_at_most_once: bool,
+    is_reused: bool,
 ) -> None:
-    monkeypatch.setattr(upstream_connection, "REUSE_DELAY_S", 0.0)
+    monkeypatch.setattr(upstream_connection, "REUSE_DELAY_S", delay_s)
 
     async def steps(group: EndpointGroup, number: int, listener: socket.socket) -> list[AttemptResult]:
         connection = group.new_connection(number)
-        with await accept_while(connection.connect(), listener):
-            group.release(connection)
-            assert group.take_idle(number, may_run_once=True) is connection
+        with await accept_while(connection.connect(), listener) as server:
             group.release(connection)
-            group.pools[number].extra_bytes_seen(0.0)
-            assert group.take_idle(number, may_run_once=True) is None
-            assert group.take_idle(number) is connection
+            connection.idle_since -= idle_s
+            if reads_ahead:
+                await asyncio.sleep(0)
+                server.send(VALID_REPLY)
+                read_ahead(connection)
+            if seen_extra_s is not None:
+                group.pools[number].extra_bytes_seen(seen_extra_s)
+            assert group.take_idle(number, is_at_most_once) is (connection if is_reused else None)
         return []
 
     assert run_steps(steps) == []
 
 
-def test_reuse_waits_for_twice_the_longest_time_to_bytes_behind_a_reply() -> None:
+def test_second_answer_some_milliseconds_late_never_reaches_next_attempt() -> None:
+    # Reused 10 ms after a reply, a connection had the copy behind it taken for the next attempt's reply.
     async def steps(group: EndpointGroup, number: int, listener: socket.socket) -> list[AttemptResult]:
-        pool = group.pools[number]
-        connection = group.new_connection(number)
+        pool, connection = group.pools[number], group.new_connection(number)
         with await accept_while(connection.connect(), listener) as server:
             group.release(connection)
-            await asyncio.sleep(0.05)
-            server.send(VALID_REPLY)
-            await wait_until(lambda: connection not in group.connections)
-        assert 0.1 <= pool.reuse_delay_s() <= upstream_connection.MAX_REUSE_DELAY_S
+            asyncio.get_running_loop().call_later(SECOND_ANSWER_S, server.send, VALID_REPLY)
+            while (reused := group.take_idle(number)) is None and connection in group.connections:
+                await asyncio.sleep(0)
+        assert reused is None and pool.longest_extra_s is not None
+        pool.extra_bytes_seen(0.05)
+        assert 0.1 <= pool.reuse_delay_s() <= MAX_REUSE_DELAY_S
         pool.extra_bytes_seen(3600.0)
-        assert pool.reuse_delay_s() == upstream_connection.MAX_REUSE_DELAY_S
-        restarted = replace(pool.endpoint, started_at_ms=1.0)
-        group.apply_endpoint_list("complete", [restarted])
-        assert group.pools[number].reuse_delay_s() == upstream_connection.REUSE_DELAY_S
+        assert pool.reuse_delay_s() == MAX_REUSE_DELAY_S
+        group.apply_endpoint_list("complete", [replace(pool.endpoint, started_at_ms=1.0)])
+        assert group.pools[number].reuse_delay_s() == REUSE_DELAY_S  # of another process
         return []
 
     assert run_steps(steps) == []
@@ -89,24 +108,16 @@
 
 def test_connection_is_reused_unless_endpoint_closed_it() -> None:
     async def steps(group: EndpointGroup, number: int, listener: socket.socket) -> list[AttemptResult]:
-        _, task = start_attempt(group, number)
-        server = await accept(listener)
-        await receive_command(server)
-        server.send(VALID_REPLY)
-        results = [await task]
-        await asyncio.sleep(2 * upstream_connection.REUSE_DELAY_S)
-        _, task = start_attempt(group, number)
-        await receive_command(server)  # on the same connection
-        server.send(VALID_REPLY)
-        results.append(await task)
+        connection = group.new_connection(number)
+        server = await accept_while(connection.connect(), listener)
+        group.release(connection)
+        results = []
+        for _ in range(2):
+            await asyncio.sleep(2 * REUSE_DELAY_S)
+            results.append((await answer_attempt(group, number, server))[0])  # on the same connection
         # The close is not read yet: an attempt written now would count as one that may have run.
         server.close()
-        _, task = start_attempt(group, number)
-        with await accept(listener) as server:
-            await receive_command(server)
-            server.send(VALID_REPLY)
-            results.append(await task)
-        return results
+        return [*results, (await answer_attempt(group, number, listener))[0]]
 
     assert [result.status for result in run_steps(steps)] == ["ok", "ok", "ok"]
 
@@ -115,56 +126,15 @@
 def test_bytes_behind_reply_never_reach_next_attempt(extra: bytes) -> None:
     # Part of a reply stayed in the buffer, and the next reply was read as its continuation.
     async def steps(group: EndpointGroup, number: int, listener: socket.socket) -> list[AttemptResult]:
-        _, first = start_attempt(group, number)
-        with await accept(listener) as server:
-            await receive_command(server)
-            server.send(VALID_REPLY + extra)
-            results = [await first]
-            assert group.pools[number].longest_extra_s == 0.0
-            _, second = start_attempt(group, number)
-            with await accept(listener) as second_server:
-                await receive_command(second_server)
-                second_server.send(VALID_REPLY)
-                return [*results, await second]
+        first, _first_server = await answer_attempt(group, number, listener, VALID_REPLY + extra)
+        assert group.pools[number].longest_extra_s == 0.0
+        second, _second_server = await answer_attempt(group, number, listener)
+        return [first, second]
 
     assert [result.status for result in run_steps(steps)] == ["ok", "ok"]
 
 
-def test_connection_is_not_reused_before_reuse_delay(monkeypatch: pytest.MonkeyPatch) -> None:
-    # Bytes that arrived a moment after a reply would have been taken for the next attempt's reply.
-    monkeypatch.setattr(upstream_connection, "REUSE_DELAY_S", 3600.0)
-
-    async def steps(group: EndpointGroup, number: int, listener: socket.socket) -> list[AttemptResult]:
-        connection = group.new_connection(number)
-        with await accept_while(connection.connect(), listener):
-            group.release(connection)
-            assert group.take_idle(number) is None
-            upstream_connection.REUSE_DELAY_S = 0.0
-            assert group.take_idle(number) is connection
-        return []
-
-    assert run_steps(steps) == []
-
-
-def test_connection_whose_stream_has_read_ahead_is_not_reused(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(upstream_connection, "REUSE_DELAY_S", 0.0)
-
-    async def steps(group: EndpointGroup, number: int, listener: socket.socket) -> list[AttemptResult]:
-        connection = group.new_connection(number)
-        with await accept_while(connection.connect(), listener) as server:
-            group.release(connection)
-            await asyncio.sleep(0)
-            server.send(VALID_REPLY)
-            read_ahead(connection)
-            assert group.take_idle(number) is None
-        return []
-
-    assert run_steps(steps) == []
-
-
-def test_max_idle_time_is_reduced_after_stale_connection(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_max_idle_time_is_reduced_after_stale_connection(monkeypatch: pytest.MonkeyPatch) -> None:
     # Each attempt on a stale connection ended as reset: it may have run, and its endpoint counted as dead.
     monkeypatch.setattr(upstream_connection, "STALE_RESET_WITHIN_S", 10.0)
 
@@ -174,13 +144,13 @@
             await receive_command(server)
             server.send(VALID_REPLY)
             results = [await task]
-            await asyncio.sleep(2 * upstream_connection.REUSE_DELAY_S)
+            await asyncio.sleep(2 * REUSE_DELAY_S)
             _, task = start_attempt(group, number)
             await receive_command(server)
         results.append(await task)
         now = asyncio.get_running_loop().time()
         # The connection had been idle for less than a second.
-        assert upstream_connection.REUSE_DELAY_S <= group.max_idle_s(now) < 1.0
+        assert REUSE_DELAY_S <= group.max_idle_s(now) < 1.0
         assert group.max_idle_s(now + 100 * upstream.MAX_IDLE_DOUBLING_S) == group.idle_timeout_ms / 1000
         connection = group.new_connection(number)
         with await accept_while(connection.connect(), listener):
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -91,7 +91,10 @@
     (told,) = sent_messages(outputs, m.AppendEntries)
     assert isinstance(told.message, m.AppendEntries)
     assert told.message.entries[-1].members == m.Members(("a/1", "b/1"))
-    node.step(5.4, m.MessageReceived("c/1", m.AppendEntriesResponse(1, True, 2, node.round)))
+    node.step(5.4, m.Propose(2, b"x"))
+    node.step(5.4, m.WriteCompleted(node.outbox.last_write))
+    node.step(5.4, m.MessageReceived("c/1", m.AppendEntriesResponse(1, True, 3, node.round)))
+    assert node.commit_index == 2  # it counts in no quorum
     assert {send.to for send in sent_messages(node.step(5.7, m.Tick()), m.AppendEntries)} == {"b/1"}
 
 
--- a/tests/test_policy_driver.py
+++ b/tests/test_policy_driver.py
@@ -329,13 +329,11 @@
 
 
 @pytest.mark.parametrize("effect", ["safe", "unsafe"])
-def test_attempt_of_a_class_that_may_run_once_is_dispatched_as_such(
+def test_attempt_of_an_unsafe_class_is_dispatched_as_at_most_once(
     monkeypatch: pytest.MonkeyPatch, effect: Effect
 ) -> None:
-    may_run_once: list[bool] = []
-
     async def record_dispatch(*arguments: Any) -> AttemptResult:
-        may_run_once.append(arguments[-1])
+        assert arguments[-1] is (effect == "unsafe")
         return AttemptResult(AttemptStatus.UNSENT)
 
     async def steps(driver: PolicyDriver, _policy: ScriptedPolicy) -> None:
@@ -348,5 +346,5 @@
 
     monkeypatch.setattr(policy_driver, "dispatch", record_dispatch)
     monkeypatch.setitem(CLASSES, "look", replace(CLASSES["look"], effect=effect))
-    run_steps(decide, steps)
-    assert may_run_once == [effect == "unsafe"]
+    driver = run_steps(decide, steps)
+    assert driver.counters.counts["tries_unsent"] == 1 and not driver.counters.counts["exceptions"]
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from types import SimpleNamespace
+from typing import Any
 
 import msgspec
 import pytest
@@ -78,6 +79,22 @@
         self.state.sessions = ReplicatedState().sessions
 
 
+def machine_of(gateway: str, requests: Any, sessions: Any, drains: list[bool], groups: int = 0) -> Machine:
+    """Return the machine of a gateway without replicas and clients; it adds to `drains` when it drains."""
+    occupancy = SimpleNamespace(open_requests=0, client_connections=0, is_drained=False)
+    replication: Any = SimpleNamespace(
+        requests=requests,
+        gateway=gateway,
+        groups=SimpleNamespace(hosts={}),
+        knowledge=SimpleNamespace(replica=lambda: f"{gateway}/1"),
+        section=SimpleNamespace(groups=groups),
+    )
+    controls: Any = SimpleNamespace(
+        occupancy=lambda: occupancy, drain=lambda: drains.append(True), resume=lambda: None
+    )
+    return Machine(replication, sessions, controls)
+
+
 class FakePolicyDriver:
     """A fake of `PolicyDriver` that records the leases passed to the policy."""
 
@@ -247,7 +264,6 @@
     # Guards against a machine that never drains: each read of its job gave up the answer to the one before.
     callbacks: list[OnResponse] = []
     drains: list[bool] = []
-    occupancy = SimpleNamespace(open_requests=0, client_connections=0, is_drained=False)
 
     def send(_group: int, _command: bytes, _to: str, on_response: OnResponse, _read: str) -> int:
         callbacks.append(on_response)
@@ -258,16 +274,8 @@
             callbacks[number - 1] = lambda _: None
 
     requests = SimpleNamespace(send=send, abandon=abandon, leader_of=lambda _: "g0")
-    replication = SimpleNamespace(
-        requests=requests,
-        gateway="g0",
-        groups=SimpleNamespace(hosts={}),
-        knowledge=SimpleNamespace(replica=lambda: "g0/1"),
-        section=SimpleNamespace(groups=0),
-    )
     sessions = SimpleNamespace(at=lambda _: SimpleNamespace(is_busy=lambda: True))
-    controls = SimpleNamespace(occupancy=lambda: occupancy, drain=lambda: drains.append(True))
-    machine = Machine(replication, sessions, controls)  # type: ignore[arg-type]
+    machine = machine_of("g0", requests, sessions, drains)
 
     def answer(number: int, state: str) -> None:
         job = MachineJob("g0", "r", state, fencing_token=1, expires_at=20_000.0)
